--- /dev/null
+++ b/src/api.c
@@ -0,0 +1,584 @@
+/* The users' side, on every node. An answer that is not final is given only after the state service has
+ * confirmed that the record this node knows is the newest; many such checks share one request. */
+#include "controller.h"
+
+#include <string.h>
+
+#define MOST_ACCEPTS 256u
+#define MOST_CHECKS 512u
+#define CHECK_EVERY_S 0.03
+#define TXN_BYTES (56 * 1024)
+
+/* What a request waits for. */
+typedef enum
+{
+  ASK_STATUS,
+  ASK_SUBMITTED, /* a submission of a job that seems known, or that can never run */
+  ASK_CANCEL
+} Ask;
+
+typedef struct
+{
+  HzbExchange *exchange;
+  char *uid;
+  Ask ask;
+  guint64 version; /* the one to be confirmed; 0: that there is none */
+  char *refusal;   /* ASK_SUBMITTED: why it can't run, if it is not known */
+  struct timespec deadline;
+} Check;
+
+typedef struct
+{
+  HzbExchange *exchange;
+  HzbSpec *spec;
+  char *packed;
+  struct timespec deadline;
+} Accept;
+
+struct _HzbApi
+{
+  HzbController *c;
+  GQueue checks, accepts; /* waiting to be sent */
+  guint checking, accepting;
+  struct timespec next_check;
+};
+
+typedef struct
+{
+  HzbApi *api;
+  GPtrArray *entries;
+} Batch;
+
+static void flush_accepts (HzbApi *api);
+static void flush_checks (HzbApi *api);
+static void read_check (HzbApi *api, Check *check);
+static void send_cancel (HzbApi *api, Check *check);
+
+HzbApi *
+hzb_api_new (HzbController *c)
+{
+  HzbApi *api = g_new0 (HzbApi, 1);
+  api->c = c;
+  return api;
+}
+
+static void
+check_free (Check *check)
+{
+  g_free (check->uid);
+  g_free (check->refusal);
+  g_free (check);
+}
+
+static void
+accept_free (Accept *accept)
+{
+  hzb_spec_free (accept->spec);
+  cJSON_free (accept->packed);
+  g_free (accept);
+}
+
+void
+hzb_api_free (HzbApi *api)
+{
+  Check *check;
+  Accept *accept;
+  while ((check = g_queue_pop_head (&api->checks)))
+    {
+      hzb_exchange_reply (check->exchange, 503, NULL, 1);
+      check_free (check);
+    }
+  while ((accept = g_queue_pop_head (&api->accepts)))
+    {
+      hzb_exchange_reply (accept->exchange, 503, NULL, 1);
+      accept_free (accept);
+    }
+  g_free (api);
+}
+
+static void
+unable (HzbExchange *exchange, const char *why)
+{
+  hzb_exchange_reply (exchange, 503, hzb_wire_error (why), 1);
+}
+
+static void
+reply_status (HzbApi *api, HzbExchange *exchange, const HzbJob *job, guint status, gboolean counts)
+{
+  guint done = job->done + job->finished, running = job->running;
+  const char *text = hzb_job_status (job);
+
+  if (job->state == HZB_JOB_DONE)
+    done = job->n_tasks;
+  if (job->state != HZB_JOB_ACCEPTED)
+    running = 0;
+  else if (!job->tasks)
+    {
+      /* Only for display: what the holder last told its peers. */
+      guint64 seen = GPOINTER_TO_SIZE (g_hash_table_lookup (api->c->display, job->uid));
+      done = (guint) (seen >> 24);
+      running = (guint) (seen & 0xffffff);
+      text = running ? "running" : "queued";
+    }
+  hzb_exchange_reply (exchange, status, hzb_wire_job_status (job->uid, text, counts, done, running), 0);
+}
+
+/* ---- reading ---- */
+
+/* The record is known to be the newest: what was asked can be answered. */
+static void
+settle (HzbApi *api, Check *check)
+{
+  HzbJob *job = hzb_jobs_find (api->c->jobs, check->uid);
+
+  if (check->ask == ASK_CANCEL && job && job->state == HZB_JOB_ACCEPTED)
+    {
+      send_cancel (api, check);
+      return;
+    }
+  if (job)
+    reply_status (api, check->exchange, job, 200, check->ask == ASK_STATUS);
+  else if (check->ask == ASK_SUBMITTED && check->refusal)
+    hzb_exchange_reply (check->exchange, 422, hzb_wire_error (check->refusal), 0);
+  else if (check->ask == ASK_SUBMITTED)
+    unable (check->exchange, "not decided"); /* a write without an answer may still come */
+  else
+    hzb_exchange_reply (check->exchange, 404, hzb_wire_error ("no such job"), 0);
+  check_free (check);
+}
+
+static void
+on_read (HzbStoreResult result, const char *body, gpointer user)
+{
+  Batch *batch = user;
+  HzbApi *api = batch->api;
+  Check *check = batch->entries->pdata[0];
+  HzbItem item = { 0 };
+
+  if (result == HZB_STORE_OK && hzb_wire_parse_item (body, &item))
+    {
+      hzb_controller_take_item (api->c, &item);
+      hzb_item_clear (&item);
+      settle (api, check);
+    }
+  else if (result == HZB_STORE_ABSENT && !hzb_jobs_find (api->c->jobs, check->uid))
+    settle (api, check);
+  else
+    {
+      unable (check->exchange, "the state service can't be asked");
+      check_free (check);
+    }
+  g_ptr_array_unref (batch->entries);
+  g_free (batch);
+}
+
+static void
+read_check (HzbApi *api, Check *check)
+{
+  Batch *batch = g_new0 (Batch, 1);
+  g_autofree char *key = g_strconcat (HZB_KEY_JOBS, check->uid, NULL);
+  batch->api = api;
+  batch->entries = g_ptr_array_new ();
+  g_ptr_array_add (batch->entries, check);
+  hzb_store_get (api->c->store, HZB_STORE_READ, key, on_read, batch);
+}
+
+static void
+on_checked (HzbStoreResult result, const char *body, gpointer user)
+{
+  Batch *batch = user;
+  HzbApi *api = batch->api;
+  g_autoptr (GPtrArray) failed = NULL;
+
+  api->checking--;
+  if (result == HZB_STORE_CONFLICT)
+    hzb_wire_parse_txn (body, NULL, &failed);
+  for (guint i = 0; i < batch->entries->len; i++)
+    {
+      Check *check = batch->entries->pdata[i];
+      gboolean changed = FALSE;
+      if (result == HZB_STORE_OK)
+        settle (api, check);
+      else if (result == HZB_STORE_CONFLICT)
+        {
+          /* A compare that failed on one key says nothing sure of the others: all are read again, the
+           * changed ones from their records. */
+          for (guint k = 0; k < failed->len; k++)
+            changed = changed || g_str_equal ((char *) failed->pdata[k] + strlen (HZB_KEY_JOBS), check->uid);
+          if (changed || batch->entries->len == 1)
+            read_check (api, check);
+          else
+            g_queue_push_head (&api->checks, check);
+        }
+      else
+        {
+          unable (check->exchange, "the state service can't be asked");
+          check_free (check);
+        }
+    }
+  g_ptr_array_unref (batch->entries);
+  g_free (batch);
+  flush_checks (api);
+}
+
+static void
+flush_checks (HzbApi *api)
+{
+  HzbController *c = api->c;
+  struct timespec now = hzb_clock_now (c->clock);
+  guint most = MIN (64, c->settings->store_txn_ops * 4);
+  Batch *batch;
+  cJSON *txn;
+
+  if (api->checking || !api->checks.length || hzb_time_before (now, api->next_check))
+    return;
+  api->next_check = hzb_time_plus (now, CHECK_EVERY_S);
+  batch = g_new0 (Batch, 1);
+  batch->api = api;
+  batch->entries = g_ptr_array_new ();
+  txn = hzb_wire_txn ();
+  while (batch->entries->len < most && api->checks.length)
+    {
+      Check *check = g_queue_pop_head (&api->checks);
+      HzbJob *job = hzb_jobs_find (c->jobs, check->uid);
+      g_autofree char *key = g_strconcat (HZB_KEY_JOBS, check->uid, NULL);
+      check->version = job ? job->version : 0;
+      hzb_wire_txn_if (txn, key, check->version);
+      g_ptr_array_add (batch->entries, check);
+    }
+  api->checking++;
+  hzb_store_txn (c->store, HZB_STORE_READ, txn, on_checked, batch);
+}
+
+static void
+add_check (HzbApi *api, HzbExchange *exchange, const char *uid, Ask ask, const char *refusal)
+{
+  Check *check;
+
+  if (api->checks.length >= MOST_CHECKS)
+    {
+      hzb_exchange_reply (exchange, ask == ASK_SUBMITTED ? 429 : 503, hzb_wire_error ("too much is asked at once"), 2);
+      return;
+    }
+  check = g_new0 (Check, 1);
+  check->exchange = exchange;
+  check->uid = g_strdup (uid);
+  check->ask = ask;
+  check->refusal = g_strdup (refusal);
+  check->deadline = hzb_time_plus (hzb_clock_now (api->c->clock), 3);
+  g_queue_push_tail (&api->checks, check);
+  flush_checks (api);
+}
+
+/* ---- cancelling ---- */
+
+static void
+on_cancelled (HzbStoreResult result, const char *body, gpointer user)
+{
+  Batch *batch = user;
+  HzbApi *api = batch->api;
+  Check *check = batch->entries->pdata[0];
+  HzbJob *job = hzb_jobs_find (api->c->jobs, check->uid);
+
+  g_ptr_array_unref (batch->entries);
+  g_free (batch);
+  if (result == HZB_STORE_OK && job)
+    {
+      guint64 revision = 0;
+      cJSON *value = hzb_jobs_pack_final (HZB_JOB_CANCELLED, job->n_tasks);
+      hzb_wire_parse_txn (body, &revision, NULL);
+      hzb_jobs_apply (api->c->jobs, check->uid, value, revision);
+      cJSON_Delete (value);
+      settle (api, check);
+    }
+  else if (result == HZB_STORE_REFUSED)
+    {
+      unable (check->exchange, "the state service can't be asked");
+      check_free (check);
+    }
+  else
+    read_check (api, check); /* resolved by reading, never guessed */
+}
+
+static void
+send_cancel (HzbApi *api, Check *check)
+{
+  HzbJob *job = hzb_jobs_find (api->c->jobs, check->uid);
+  g_autofree char *key = g_strconcat (HZB_KEY_JOBS, check->uid, NULL);
+  Batch *batch;
+  cJSON *txn;
+
+  if (!hzb_time_before (hzb_clock_now (api->c->clock), check->deadline))
+    {
+      unable (check->exchange, "not decided in time");
+      check_free (check);
+      return;
+    }
+  batch = g_new0 (Batch, 1);
+  txn = hzb_wire_txn ();
+  batch->api = api;
+  batch->entries = g_ptr_array_new ();
+  g_ptr_array_add (batch->entries, check);
+  hzb_wire_txn_if (txn, key, job->version);
+  hzb_wire_txn_put (txn, key, hzb_jobs_pack_final (HZB_JOB_CANCELLED, job->n_tasks), 0);
+  hzb_store_txn (api->c->store, HZB_STORE_ACCEPT, txn, on_cancelled, batch);
+}
+
+/* ---- accepting ---- */
+
+static void
+on_accepted (HzbStoreResult result, const char *body, gpointer user)
+{
+  Batch *batch = user;
+  HzbApi *api = batch->api;
+  HzbController *c = api->c;
+  g_autoptr (GPtrArray) failed = NULL;
+  guint64 revision = 0;
+
+  api->accepting--;
+  hzb_wire_parse_txn (body, &revision, &failed);
+  for (guint i = 0; i < batch->entries->len; i++)
+    {
+      Accept *accept = batch->entries->pdata[i];
+      const char *uid = accept->spec->uid;
+      gboolean known = FALSE;
+      if (result == HZB_STORE_OK)
+        {
+          cJSON *value = cJSON_Parse (accept->packed);
+          HzbJob *job = hzb_jobs_apply (c->jobs, uid, value, revision);
+          cJSON_Delete (value);
+          hzb_exchange_reply (accept->exchange, 201, hzb_wire_job_status (uid, job ? hzb_job_status (job) : "queued", FALSE, 0, 0), 0);
+          accept_free (accept);
+          continue;
+        }
+      for (guint k = 0; k < failed->len; k++)
+        known = known || g_str_equal ((char *) failed->pdata[k] + strlen (HZB_KEY_JOBS), uid);
+      if (result == HZB_STORE_CONFLICT && !known && batch->entries->len > 1)
+        {
+          g_queue_push_head (&api->accepts, accept); /* another of the batch was the reason */
+          continue;
+        }
+      if (result == HZB_STORE_CONFLICT || result == HZB_STORE_UNKNOWN)
+        {
+          Check *check = g_new0 (Check, 1);
+          check->exchange = accept->exchange;
+          check->uid = g_strdup (uid);
+          /* Not there: it may still come, so the user is told to come back. */
+          check->ask = ASK_SUBMITTED;
+          read_check (api, check);
+        }
+      else
+        unable (accept->exchange, "the state service can't be asked");
+      accept_free (accept);
+    }
+  g_ptr_array_unref (batch->entries);
+  g_free (batch);
+  flush_accepts (api);
+}
+
+static void
+flush_accepts (HzbApi *api)
+{
+  HzbController *c = api->c;
+  struct timespec now = hzb_clock_now (c->clock);
+
+  while (api->accepting < 2 && api->accepts.length)
+    {
+      Batch *batch = g_new0 (Batch, 1);
+      cJSON *txn = hzb_wire_txn ();
+      g_autoptr (GHashTable) uids = g_hash_table_new (g_str_hash, g_str_equal);
+      gsize bytes = 0;
+      batch->api = api;
+      batch->entries = g_ptr_array_new ();
+      while (api->accepts.length && batch->entries->len < c->settings->store_txn_ops)
+        {
+          Accept *accept = g_queue_peek_head (&api->accepts);
+          g_autofree char *key = NULL;
+          gsize length = strlen (accept->packed) + 200;
+          if (hzb_time_before (accept->deadline, now))
+            {
+              g_queue_pop_head (&api->accepts);
+              unable (accept->exchange, "not decided in time");
+              accept_free (accept);
+              continue;
+            }
+          if (g_hash_table_contains (uids, accept->spec->uid) || (batch->entries->len && bytes + length > TXN_BYTES))
+            break;
+          g_queue_pop_head (&api->accepts);
+          g_hash_table_add (uids, accept->spec->uid);
+          bytes += length;
+          key = g_strconcat (HZB_KEY_JOBS, accept->spec->uid, NULL);
+          hzb_wire_txn_if (txn, key, 0);
+          hzb_wire_txn_put (txn, key, cJSON_Parse (accept->packed), 0);
+          g_ptr_array_add (batch->entries, accept);
+        }
+      if (!batch->entries->len)
+        {
+          cJSON_Delete (txn);
+          g_ptr_array_unref (batch->entries);
+          g_free (batch);
+          return;
+        }
+      api->accepting++;
+      hzb_store_txn (c->store, HZB_STORE_ACCEPT, txn, on_accepted, batch);
+    }
+}
+
+/* NULL: it can run. */
+static const char *
+never_runs (HzbController *c, const HzbSpec *spec)
+{
+  int at = hzb_settings_team (c->settings, spec->team);
+  const HzbTeam *team;
+  double times = spec->gang ? spec->tasks : 1;
+  gboolean known_zone = spec->zone == NULL;
+
+  if (at < 0)
+    return "owner: no such team";
+  team = c->settings->teams->pdata[at];
+  for (guint i = 0; i < c->settings->zones->len && !known_zone; i++)
+    known_zone = g_str_equal (c->settings->zones->pdata[i], spec->zone);
+  if (!known_zone)
+    return "yard: no such zone";
+  if (spec->cpus * times > team->cpus_max + 1e-9 || spec->gpus * times > team->gpus_max + 1e-9)
+    return "the job needs more than its team's limit";
+  if (spec->same_zone && spec->spread && spec->tasks > 1)
+    return "samePlace and spread exclude each other";
+  if (spec->gang && spec->spread && spec->zone && spec->tasks > 1)
+    return "a gang that is to be spread can't be in one zone";
+  for (guint i = 0; i < c->machines->types->len; i++)
+    {
+      const HzbMachineType *type = c->machines->types->pdata[i];
+      if (hzb_type_holds (type, spec)
+          && (!spec->zone || g_strv_contains ((const char *const *) type->zones, spec->zone)))
+        return NULL;
+    }
+  return "a task fits no allowed machine type";
+}
+
+/* Types that do not exist never fit: the record need not hold them. */
+static void
+drop_unknown_types (HzbController *c, HzbSpec *spec)
+{
+  g_autoptr (GStrvBuilder) kept = g_strv_builder_new ();
+  if (!spec->types)
+    return;
+  for (guint i = 0; i < c->machines->types->len; i++)
+    {
+      const HzbMachineType *type = c->machines->types->pdata[i];
+      if (g_strv_contains ((const char *const *) spec->types, type->name))
+        g_strv_builder_add (kept, type->name);
+    }
+  g_strfreev (spec->types);
+  spec->types = g_strv_builder_end (kept);
+}
+
+static void
+submit (HzbApi *api, HzbExchange *exchange)
+{
+  HzbController *c = api->c;
+  g_autoptr (GError) error = NULL;
+  g_autoptr (HzbSpec) spec = hzb_wire_parse_job (exchange->body, exchange->length, &error);
+  const HzbJob *job;
+  const char *refusal;
+  Accept *accept;
+  cJSON *packed;
+
+  if (!spec)
+    {
+      hzb_exchange_reply (exchange, 400, hzb_wire_error (error->message), 0);
+      return;
+    }
+  if ((job = hzb_jobs_find (c->jobs, spec->uid)))
+    {
+      if (job->state != HZB_JOB_ACCEPTED)
+        reply_status (api, exchange, job, 200, FALSE);
+      else
+        add_check (api, exchange, spec->uid, ASK_SUBMITTED, NULL);
+      return;
+    }
+  if (!hzb_controller_ready (c) || !c->machines->types)
+    {
+      unable (exchange, "not ready yet");
+      return;
+    }
+  if ((refusal = never_runs (c, spec)))
+    {
+      /* A repeat of an accepted job must not be refused, whatever has changed since. */
+      add_check (api, exchange, spec->uid, ASK_SUBMITTED, refusal);
+      return;
+    }
+  if (api->accepts.length >= MOST_ACCEPTS)
+    {
+      hzb_exchange_reply (exchange, 429, hzb_wire_error ("more submissions than can be taken"), 2);
+      return;
+    }
+  drop_unknown_types (c, spec);
+  packed = hzb_jobs_pack_accepted (spec, hzb_clock_wall (c->clock));
+  accept = g_new0 (Accept, 1);
+  accept->exchange = exchange;
+  accept->packed = cJSON_PrintUnformatted (packed);
+  accept->deadline = hzb_time_plus (hzb_clock_now (c->clock), 2.5);
+  cJSON_Delete (packed);
+  if (strlen (accept->packed) > c->settings->store_value_kb * 1024 - 64)
+    {
+      hzb_exchange_reply (exchange, 400, hzb_wire_error ("the job's texts are too long"), 0);
+      accept_free (accept);
+      return;
+    }
+  accept->spec = g_steal_pointer (&spec);
+  g_queue_push_tail (&api->accepts, accept);
+  flush_accepts (api);
+}
+
+static void
+ask_about (HzbApi *api, HzbExchange *exchange, const char *uid, Ask ask)
+{
+  HzbJob *job = hzb_jobs_find (api->c->jobs, uid);
+
+  if (!hzb_wire_uid_ok (uid))
+    hzb_exchange_reply (exchange, 404, hzb_wire_error ("no such job"), 0);
+  else if (job && job->state != HZB_JOB_ACCEPTED)
+    reply_status (api, exchange, job, 200, ask == ASK_STATUS);
+  else
+    add_check (api, exchange, uid, ask, NULL);
+}
+
+void
+hzb_api_request (HzbApi *api, HzbExchange *exchange)
+{
+  const char *rest;
+  gboolean post = g_str_equal (exchange->method, "POST"), get = g_str_equal (exchange->method, "GET");
+
+  if (g_str_equal (exchange->path, hzb_path_jobs))
+    {
+      if (post)
+        submit (api, exchange);
+      else
+        hzb_exchange_reply (exchange, 405, hzb_wire_error ("POST a job here"), 0);
+      return;
+    }
+  rest = exchange->path + strlen (hzb_path_jobs);
+  if (g_str_has_prefix (exchange->path, hzb_path_jobs) && *rest == '/')
+    {
+      const char *slash = strchr (rest + 1, '/');
+      g_autofree char *uid = slash ? g_strndup (rest + 1, (gsize) (slash - rest - 1)) : g_strdup (rest + 1);
+      if (!slash && get)
+        ask_about (api, exchange, uid, ASK_STATUS);
+      else if (slash && g_str_equal (slash, hzb_path_cancel) && post)
+        ask_about (api, exchange, uid, ASK_CANCEL);
+      else if (!slash || g_str_equal (slash, hzb_path_cancel))
+        hzb_exchange_reply (exchange, 405, hzb_wire_error (slash ? "POST here" : "GET a job here"), 0);
+      else
+        hzb_exchange_reply (exchange, 404, hzb_wire_error ("no such path"), 0);
+      return;
+    }
+  hzb_exchange_reply (exchange, 404, hzb_wire_error ("no such path"), 0);
+}
+
+void
+hzb_api_tick (HzbApi *api)
+{
+  flush_accepts (api);
+  flush_checks (api);
+}
--- /dev/null
+++ b/src/clock.c
@@ -0,0 +1,86 @@
+#include "clock.h"
+
+#include <math.h>
+
+struct _HzbClock
+{
+  gboolean manual;
+  struct timespec now;
+};
+
+HzbClock *
+hzb_clock_new (void)
+{
+  return g_new0 (HzbClock, 1);
+}
+
+HzbClock *
+hzb_clock_new_manual (void)
+{
+  HzbClock *clock = g_new0 (HzbClock, 1);
+  clock->manual = TRUE;
+  clock->now.tv_sec = 1000;
+  return clock;
+}
+
+void
+hzb_clock_free (HzbClock *clock)
+{
+  g_free (clock);
+}
+
+struct timespec
+hzb_clock_now (HzbClock *clock)
+{
+  if (!clock->manual)
+    clock_gettime (CLOCK_MONOTONIC, &clock->now);
+  return clock->now;
+}
+
+struct timespec
+hzb_clock_wall (HzbClock *clock)
+{
+  struct timespec at = clock->now;
+  if (!clock->manual)
+    clock_gettime (CLOCK_REALTIME, &at);
+  return at;
+}
+
+void
+hzb_clock_advance (HzbClock *clock, double seconds)
+{
+  g_return_if_fail (clock->manual);
+  clock->now = hzb_time_plus (clock->now, seconds);
+}
+
+struct timespec
+hzb_time_plus (struct timespec at, double seconds)
+{
+  double whole = floor (seconds);
+  at.tv_sec += (time_t) whole;
+  at.tv_nsec += (long) ((seconds - whole) * 1e9);
+  if (at.tv_nsec >= 1000000000L)
+    {
+      at.tv_nsec -= 1000000000L;
+      at.tv_sec++;
+    }
+  return at;
+}
+
+double
+hzb_time_between (struct timespec from, struct timespec to)
+{
+  return (double) (to.tv_sec - from.tv_sec) + (double) (to.tv_nsec - from.tv_nsec) / 1e9;
+}
+
+gboolean
+hzb_time_before (struct timespec a, struct timespec b)
+{
+  return a.tv_sec < b.tv_sec || (a.tv_sec == b.tv_sec && a.tv_nsec < b.tv_nsec);
+}
+
+gboolean
+hzb_time_is_set (struct timespec at)
+{
+  return at.tv_sec != 0 || at.tv_nsec != 0;
+}
--- /dev/null
+++ b/src/controller.c
@@ -0,0 +1,1141 @@
+#include "controller.h"
+
+#include <string.h>
+
+#define WATCH_MS 2000
+#define LEASE_SLACK_S 1.0 /* beyond the lease and the drift of clocks */
+#define FORGET_SILENT_S 12.0
+
+/* ---- the mirror ---- */
+
+static void mirror_step (HzbController *c);
+
+void
+hzb_controller_take_item (HzbController *c, const HzbItem *item)
+{
+  if (g_str_has_prefix (item->key, HZB_KEY_JOBS))
+    {
+      if (item->value)
+        hzb_jobs_apply (c->jobs, item->key + strlen (HZB_KEY_JOBS), item->value, item->version);
+    }
+  else if (g_str_equal (item->key, HZB_KEY_TYPES))
+    {
+      GPtrArray *types = item->value ? hzb_wire_unpack_types (item->value) : NULL;
+      if (types && !c->machines->types)
+        hzb_machines_set_types (c->machines, types);
+      else if (types)
+        g_ptr_array_unref (types);
+    }
+  else
+    hzb_election_item (c->election, item);
+}
+
+static void
+on_loaded (HzbStoreResult result, const char *body, gpointer user)
+{
+  HzbController *c = user;
+  gboolean more = FALSE;
+  guint64 revision = 0;
+  g_autoptr (GArray) items = result == HZB_STORE_OK ? hzb_wire_parse_range (body, &more, &revision) : NULL;
+
+  if (!items)
+    {
+      c->mirror = HZB_MIRROR_EMPTY;
+      c->mirror_next = hzb_time_plus (hzb_clock_now (c->clock), 0.4);
+      return;
+    }
+  if (!c->load_after)
+    c->load_revision = revision;
+  for (guint i = 0; i < items->len; i++)
+    {
+      HzbItem *item = &g_array_index (items, HzbItem, i);
+      if (g_str_equal (item->key, HZB_KEY_LEADER))
+        c->load_saw_leader = TRUE;
+      hzb_controller_take_item (c, item);
+      g_free (c->load_after);
+      c->load_after = g_strdup (item->key);
+    }
+  if (more && items->len)
+    {
+      hzb_store_range (c->store, HZB_KEY_MIRROR, c->load_after, on_loaded, c);
+      return;
+    }
+  if (!c->load_saw_leader)
+    {
+      HzbItem none = { (char *) HZB_KEY_LEADER, NULL, c->load_revision };
+      hzb_election_item (c->election, &none);
+    }
+  c->revision = c->load_revision;
+  c->mirror = HZB_MIRROR_FOLLOWING;
+  c->mirror_fresh = hzb_clock_now (c->clock);
+  g_message ("the mirror has been read, at revision %" G_GUINT64_FORMAT, c->revision);
+  mirror_step (c);
+}
+
+static void
+on_watched (HzbStoreResult result, const char *body, gpointer user)
+{
+  HzbController *c = user;
+  guint64 revision = 0;
+  g_autoptr (GArray) items = result == HZB_STORE_OK ? hzb_wire_parse_watch (body, &revision) : NULL;
+
+  c->watching = FALSE;
+  if (result == HZB_STORE_ABSENT)
+    c->mirror = HZB_MIRROR_EMPTY; /* too far behind: read anew */
+  else if (!items)
+    c->mirror_next = hzb_time_plus (hzb_clock_now (c->clock), 0.3);
+  else
+    {
+      for (guint i = 0; i < items->len; i++)
+        hzb_controller_take_item (c, &g_array_index (items, HzbItem, i));
+      c->revision = MAX (c->revision, revision);
+      c->mirror_fresh = hzb_clock_now (c->clock);
+    }
+  mirror_step (c);
+}
+
+static void
+mirror_step (HzbController *c)
+{
+  if (hzb_time_before (hzb_clock_now (c->clock), c->mirror_next))
+    return;
+  if (c->mirror == HZB_MIRROR_EMPTY)
+    {
+      c->mirror = HZB_MIRROR_LOADING;
+      c->load_saw_leader = FALSE;
+      g_clear_pointer (&c->load_after, g_free);
+      hzb_store_range (c->store, HZB_KEY_MIRROR, NULL, on_loaded, c);
+    }
+  else if (c->mirror == HZB_MIRROR_FOLLOWING && !c->watching)
+    {
+      c->watching = TRUE;
+      hzb_store_watch (c->store, HZB_KEY_MIRROR, c->revision, WATCH_MS, on_watched, c);
+    }
+}
+
+static gboolean
+mirror_is_fresh (HzbController *c)
+{
+  return c->mirror == HZB_MIRROR_FOLLOWING
+         && hzb_time_between (c->mirror_fresh, hzb_clock_now (c->clock)) < WATCH_MS / 1000.0 + 2;
+}
+
+/* A peer that the state service serves says that an outage is ours alone. */
+static gboolean
+peer_is_served (HzbController *c)
+{
+  struct timespec now = hzb_clock_now (c->clock);
+  for (guint i = 0; i < c->peers->len; i++)
+    {
+      const HzbPeerView *view = &g_array_index (c->peers, HzbPeerView, i);
+      if (hzb_time_is_set (view->heard) && hzb_time_between (view->heard, now) < 3 && view->store_silence < 2.5)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static gboolean
+any_peer_heard (HzbController *c)
+{
+  struct timespec now = hzb_clock_now (c->clock);
+  for (guint i = 0; i < c->peers->len; i++)
+    {
+      const HzbPeerView *view = &g_array_index (c->peers, HzbPeerView, i);
+      if (hzb_time_is_set (view->heard) && hzb_time_between (view->heard, now) < 5)
+        return TRUE;
+    }
+  return c->peers->len == 0;
+}
+
+gboolean
+hzb_controller_ready (HzbController *c)
+{
+  if (c->mirror == HZB_MIRROR_EMPTY && !c->revision)
+    return FALSE;
+  if (!c->machines->types || (c->mirror == HZB_MIRROR_LOADING && !c->revision))
+    return FALSE;
+  /* In an outage for all it makes no difference where users ask; alone, another node serves them better. */
+  return hzb_store_silence (c->store) < 4 || !peer_is_served (c);
+}
+
+/* ---- holding the block ---- */
+
+typedef struct
+{
+  HzbController *c;
+  guint64 epoch;
+  gpointer data;
+} Held;
+
+static Held *
+held_new (HzbController *c, gpointer data)
+{
+  Held *held = g_new0 (Held, 1);
+  held->c = c;
+  held->epoch = c->hold_epoch;
+  held->data = data;
+  return held;
+}
+
+static void
+set_hold (HzbController *c, HzbHoldState to, const char *why)
+{
+  static const char *const names[] = { "none", "loading", "recovering", "full" };
+  static const guint legal[] = {
+    [HZB_HOLD_NONE] = 1 << HZB_HOLD_LOADING,
+    [HZB_HOLD_LOADING] = 1 << HZB_HOLD_NONE | 1 << HZB_HOLD_RECOVERING,
+    [HZB_HOLD_RECOVERING] = 1 << HZB_HOLD_NONE | 1 << HZB_HOLD_FULL,
+    [HZB_HOLD_FULL] = 1 << HZB_HOLD_NONE,
+  };
+  if (!(legal[c->hold] & 1u << to))
+    {
+      g_critical ("hold: illegal change %s -> %s", names[c->hold], names[to]);
+      return;
+    }
+  g_message ("hold: %s -> %s: %s", names[c->hold], names[to], why);
+  c->hold = to;
+}
+
+/* What a cancelled job's own record no longer says is beside its progress. */
+static HzbSpec *
+spec_of_remains (HzbController *c, const char *uid, const cJSON *value, guint n)
+{
+  HzbSpec *spec = g_new0 (HzbSpec, 1);
+  spec->uid = g_strdup (uid);
+  spec->lane = g_strdup ("");
+  spec->image = g_strdup ("");
+  spec->team = g_strdup (hzb_json_text (value, "team"));
+  spec->cpus = hzb_json_number (value, "cpus", 0);
+  spec->gpus = hzb_json_number (value, "gpus", 0);
+  spec->tasks = n;
+  spec->estimate_s = 1;
+  return spec;
+}
+
+static void
+take_progress (HzbController *c, const char *rest, const cJSON *value)
+{
+  const char *slash = strrchr (rest, '/');
+  g_autofree char *uid = slash ? g_strndup (rest, (gsize) (slash - rest)) : NULL;
+  HzbJob *job = uid ? hzb_jobs_find (c->jobs, uid) : NULL;
+
+  if (!job)
+    return;
+  if (job->state == HZB_JOB_DONE)
+    {
+      g_ptr_array_add (c->forget_keys, g_strconcat (HZB_KEY_PROGRESS, rest, NULL));
+      return;
+    }
+  if (job->state == HZB_JOB_CANCELLED && !job->spec && hzb_json_text (value, "team"))
+    {
+      job->spec = spec_of_remains (c, uid, value, job->n_tasks);
+      job->team = hzb_settings_team (c->settings, job->spec->team);
+    }
+  hzb_jobs_activate (c->jobs, job);
+  if (job->tasks)
+    hzb_job_read_progress (c->jobs, job, (guint) g_ascii_strtoull (slash + 1, NULL, 10), value);
+}
+
+static void
+on_hold_loaded (HzbStoreResult result, const char *body, gpointer user)
+{
+  g_autofree Held *held = user;
+  HzbController *c = held->c;
+  gboolean more = FALSE;
+  guint64 revision = 0;
+  g_autoptr (GArray) items = NULL;
+
+  if (held->epoch != c->hold_epoch || c->hold != HZB_HOLD_LOADING)
+    return;
+  items = result == HZB_STORE_OK ? hzb_wire_parse_range (body, &more, &revision) : NULL;
+  for (guint i = 0; items && i < items->len; i++)
+    {
+      HzbItem *item = &g_array_index (items, HzbItem, i);
+      if (g_str_equal (item->key, HZB_KEY_FLUSH))
+        {
+          c->flush_version = item->version;
+          c->flush_number = hzb_json_u64 (item->value, "n");
+        }
+      else if (g_str_has_prefix (item->key, HZB_KEY_MACHINES))
+        {
+          const char *name = item->key + strlen (HZB_KEY_MACHINES);
+          const char *type = hzb_json_text (item->value, "type"), *zone = hzb_json_text (item->value, "zone");
+          if (!hzb_machines_find (c->machines, name) && type && zone)
+            hzb_machines_add (c->machines, name, hzb_json_text (item->value, "addr"), type, zone,
+                              cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (item->value, "spot")), HZB_MACHINE_UNHEARD)
+                ->recorded = TRUE;
+        }
+      else if (g_str_has_prefix (item->key, HZB_KEY_PROGRESS))
+        take_progress (c, item->key + strlen (HZB_KEY_PROGRESS), item->value);
+      g_free (c->hold_after);
+      c->hold_after = g_strdup (item->key);
+    }
+  if (!items || (more && items->len))
+    {
+      hzb_store_range (c->store, HZB_KEY_HOLDER, c->hold_after, on_hold_loaded, held_new (c, NULL));
+      return;
+    }
+  c->hold_since = hzb_clock_now (c->clock);
+  set_hold (c, HZB_HOLD_RECOVERING, "the records have been read");
+}
+
+/* Between being elected and reading what jobs there are, the mirror must have caught up with the term's
+ * own record: a job that the predecessor could have started is in it then. */
+static void
+begin_hold (HzbController *c)
+{
+  c->hold_epoch++;
+  c->block = hzb_block_new (c->settings, hzb_election_term (c->election));
+  c->flush_version = c->flush_number = 0;
+  c->flushing = c->flush_unknown = FALSE;
+  c->rent_number = 0;
+  c->renting = c->returning = 0;
+  c->listing = FALSE;
+  g_clear_pointer (&c->hold_after, g_free);
+  g_ptr_array_set_size (c->forget_keys, 0);
+  hzb_machines_clear (c->machines);
+  hzb_jobs_hold (c->jobs, c->block);
+  set_hold (c, HZB_HOLD_LOADING, "elected");
+  hzb_store_range (c->store, HZB_KEY_HOLDER, NULL, on_hold_loaded, held_new (c, NULL));
+}
+
+static void
+end_hold (HzbController *c)
+{
+  c->hold_epoch++;
+  set_hold (c, HZB_HOLD_NONE, "not the leader any more");
+  hzb_jobs_let_go (c->jobs);
+  hzb_machines_clear (c->machines);
+  g_clear_pointer (&c->block, hzb_block_free);
+}
+
+/* ---- writing progress and machines ---- */
+
+typedef struct
+{
+  char *uid;
+  guint releasing;
+  GArray *finished; /* guint, task numbers */
+} FlushedJob;
+
+typedef struct
+{
+  guint64 number;
+  GPtrArray *jobs;     /* FlushedJob */
+  GPtrArray *machines; /* char*, names recorded */
+  GPtrArray *keys;     /* char*, removed */
+} Flush;
+
+static void
+flushed_job_free (gpointer data)
+{
+  FlushedJob *fj = data;
+  g_free (fj->uid);
+  g_array_unref (fj->finished);
+  g_free (fj);
+}
+
+static void
+flush_free (Flush *flush)
+{
+  g_ptr_array_unref (flush->jobs);
+  g_ptr_array_unref (flush->machines);
+  g_ptr_array_unref (flush->keys);
+  g_free (flush);
+}
+
+static void
+flush_applied (HzbController *c, Flush *flush)
+{
+  for (guint i = 0; i < flush->jobs->len; i++)
+    {
+      FlushedJob *fj = flush->jobs->pdata[i];
+      HzbJob *job = hzb_jobs_find (c->jobs, fj->uid);
+      if (!job || !job->tasks)
+        continue;
+      job->released = MAX (job->released, fj->releasing);
+      for (guint k = 0; k < fj->finished->len; k++)
+        {
+          HzbTask *task = &job->tasks[g_array_index (fj->finished, guint, k)];
+          if (task->state == HZB_TASK_FINISHED)
+            hzb_task_set_state (c->jobs, task, HZB_TASK_DONE, NULL);
+        }
+    }
+  for (guint i = 0; i < flush->machines->len; i++)
+    {
+      HzbMachine *m = hzb_machines_find (c->machines, flush->machines->pdata[i]);
+      if (m)
+        m->recorded = TRUE;
+    }
+}
+
+/* Not applied, or it will never be: all of it is written again. */
+static void
+flush_failed (HzbController *c, Flush *flush)
+{
+  for (guint i = 0; i < flush->jobs->len; i++)
+    {
+      HzbJob *job = hzb_jobs_find (c->jobs, ((FlushedJob *) flush->jobs->pdata[i])->uid);
+      if (job)
+        job->dirty = TRUE;
+    }
+  for (guint i = 0; i < flush->machines->len; i++)
+    {
+      HzbMachine *m = hzb_machines_find (c->machines, flush->machines->pdata[i]);
+      if (m)
+        m->recording = FALSE;
+    }
+  for (guint i = 0; i < flush->keys->len; i++)
+    g_ptr_array_add (c->forget_keys, g_strdup (flush->keys->pdata[i]));
+}
+
+/* What became of a flush without an answer: its number is in the flush record, or not. */
+static void
+on_flush_read (HzbStoreResult result, const char *body, gpointer user)
+{
+  Held *held = user;
+  HzbController *c = held->c;
+  Flush *flush = held->data;
+  HzbItem item = { 0 };
+
+  if (held->epoch != c->hold_epoch)
+    {
+      flush_free (flush);
+      g_free (held);
+      return;
+    }
+  if (result == HZB_STORE_ABSENT || (result == HZB_STORE_OK && hzb_wire_parse_item (body, &item)))
+    {
+      c->flush_version = item.version;
+      if (item.value && hzb_json_u64 (item.value, "n") == flush->number)
+        flush_applied (c, flush);
+      else
+        flush_failed (c, flush);
+      hzb_item_clear (&item);
+      flush_free (flush);
+      c->flushing = FALSE;
+      g_free (held);
+      return;
+    }
+  hzb_store_get (c->store, HZB_STORE_RECORD, HZB_KEY_FLUSH, on_flush_read, held);
+}
+
+static void
+on_flushed (HzbStoreResult result, const char *body, gpointer user)
+{
+  Held *held = user;
+  HzbController *c = held->c;
+  Flush *flush = held->data;
+
+  if (held->epoch != c->hold_epoch)
+    {
+      flush_free (flush);
+      g_free (held);
+      return;
+    }
+  if (result == HZB_STORE_UNKNOWN || result == HZB_STORE_CONFLICT)
+    {
+      hzb_store_get (c->store, HZB_STORE_RECORD, HZB_KEY_FLUSH, on_flush_read, held);
+      return;
+    }
+  if (result == HZB_STORE_OK)
+    {
+      hzb_wire_parse_txn (body, &c->flush_version, NULL);
+      flush_applied (c, flush);
+    }
+  else
+    flush_failed (c, flush);
+  flush_free (flush);
+  g_free (held);
+  c->flushing = FALSE;
+}
+
+static gboolean
+wants_release (const HzbJob *job)
+{
+  return job->releasing < job->n_tasks && job->cursor + HZB_RELEASE_STEP / 4 >= job->releasing;
+}
+
+/* One transaction at a time. Each raises the flush record, so one that comes late fails: without that an
+ * older set of results could overwrite a newer one under the same term. */
+static void
+flush (HzbController *c)
+{
+  Flush *out;
+  cJSON *txn, *value;
+  guint room = c->settings->store_txn_ops - 1;
+  gsize bytes = 0;
+  gboolean any = FALSE;
+
+  if (c->flushing || c->hold < HZB_HOLD_RECOVERING || !hzb_election_leading (c->election))
+    return;
+  for (guint i = 0; i < c->jobs->active->len && !any; i++)
+    {
+      HzbJob *job = c->jobs->active->pdata[i];
+      any = job->dirty || (job->state == HZB_JOB_ACCEPTED && wants_release (job));
+    }
+  for (guint i = 0; i < c->machines->all->len && !any; i++)
+    {
+      const HzbMachine *m = c->machines->all->pdata[i];
+      any = !m->recorded && !m->recording && m->session;
+    }
+  if (!any && !c->forget_keys->len)
+    return;
+  out = g_new0 (Flush, 1);
+  out->jobs = g_ptr_array_new_with_free_func (flushed_job_free);
+  out->machines = g_ptr_array_new_with_free_func (g_free);
+  out->keys = g_ptr_array_new_with_free_func (g_free);
+  out->number = ++c->flush_number;
+  txn = hzb_wire_txn ();
+  hzb_election_guard (c->election, txn);
+  hzb_wire_txn_if (txn, HZB_KEY_FLUSH, c->flush_version);
+  value = cJSON_CreateObject ();
+  hzb_json_add_u64 (value, "n", out->number);
+  hzb_wire_txn_put (txn, HZB_KEY_FLUSH, value, 0);
+  for (guint i = 0; i < c->machines->all->len && room; i++)
+    {
+      HzbMachine *m = c->machines->all->pdata[i];
+      g_autofree char *key = g_strconcat (HZB_KEY_MACHINES, m->name, NULL);
+      if (m->recorded || m->recording || !m->session)
+        continue;
+      m->recording = TRUE;
+      hzb_wire_txn_put (txn, key, hzb_machine_pack (m), 0);
+      g_ptr_array_add (out->machines, g_strdup (m->name));
+      room--;
+    }
+  for (guint i = 0; i < c->jobs->active->len && room; i++)
+    {
+      HzbJob *job = c->jobs->active->pdata[i];
+      FlushedJob *fj;
+      gboolean release = job->state == HZB_JOB_ACCEPTED && wants_release (job);
+      guint chunks = hzb_job_chunks (job);
+      if ((!job->dirty && !release) || job->ending || chunks > room || bytes + chunks * 6000 > 50000)
+        continue;
+      if (release)
+        job->releasing = MIN (job->n_tasks, job->releasing + HZB_RELEASE_STEP);
+      fj = g_new0 (FlushedJob, 1);
+      fj->uid = g_strdup (job->uid);
+      fj->releasing = job->releasing;
+      fj->finished = g_array_new (FALSE, FALSE, sizeof (guint));
+      for (guint k = 0; k < job->n_tasks && job->finished; k++)
+        if (job->tasks[k].state == HZB_TASK_FINISHED)
+          g_array_append_val (fj->finished, k);
+      for (guint k = 0; k < chunks; k++)
+        {
+          g_autofree char *key = g_strdup_printf ("%s%s/%u", HZB_KEY_PROGRESS, job->uid, k);
+          hzb_wire_txn_put (txn, key, hzb_job_pack_progress (job, k), 0);
+        }
+      job->dirty = FALSE;
+      job->has_progress = TRUE;
+      room -= chunks;
+      bytes += chunks * (job->n_tasks > 2048 ? 6000 : 700);
+      g_ptr_array_add (out->jobs, fj);
+    }
+  while (c->forget_keys->len && room)
+    {
+      char *key = g_ptr_array_steal_index_fast (c->forget_keys, c->forget_keys->len - 1);
+      hzb_wire_txn_delete (txn, key);
+      g_ptr_array_add (out->keys, key);
+      room--;
+    }
+  c->flushing = TRUE;
+  hzb_store_txn (c->store, HZB_STORE_RECORD, txn, on_flushed, held_new (c, out));
+}
+
+void
+hzb_controller_flush_soon (HzbController *c)
+{
+  struct timespec now = hzb_clock_now (c->clock);
+  if (!hzb_time_before (now, c->next_flush))
+    {
+      c->next_flush = hzb_time_plus (now, 0.25);
+      flush (c);
+    }
+}
+
+static void
+on_ended (HzbStoreResult result, const char *body, gpointer user)
+{
+  Held *held = user;
+  HzbController *c = held->c;
+  g_autofree char *uid = held->data;
+  HzbJob *job = hzb_jobs_find (c->jobs, uid);
+  guint64 revision = 0;
+
+  if (result == HZB_STORE_OK && job)
+    {
+      cJSON *value = hzb_jobs_pack_final (HZB_JOB_DONE, job->n_tasks);
+      hzb_wire_parse_txn (body, &revision, NULL);
+      hzb_jobs_apply (c->jobs, uid, value, revision);
+      cJSON_Delete (value);
+    }
+  if (held->epoch == c->hold_epoch && job)
+    {
+      job->ending = FALSE;
+      if (result == HZB_STORE_OK && job->tasks)
+        {
+          g_message ("job %s is done", uid);
+          hzb_jobs_retire (c->jobs, job);
+        }
+    }
+  g_free (held);
+}
+
+void
+hzb_controller_end_job (HzbController *c, HzbJob *job)
+{
+  g_autofree char *key = NULL;
+  cJSON *txn;
+
+  if (job->ending || job->state != HZB_JOB_ACCEPTED || !hzb_election_leading (c->election))
+    return;
+  job->ending = TRUE;
+  key = g_strconcat (HZB_KEY_JOBS, job->uid, NULL);
+  txn = hzb_wire_txn ();
+  hzb_election_guard (c->election, txn);
+  hzb_wire_txn_if (txn, key, job->version);
+  hzb_wire_txn_put (txn, key, hzb_jobs_pack_final (HZB_JOB_DONE, job->n_tasks), 0);
+  for (guint k = 0; k < hzb_job_chunks (job); k++)
+    {
+      g_autofree char *chunk = g_strdup_printf ("%s%s/%u", HZB_KEY_PROGRESS, job->uid, k);
+      hzb_wire_txn_delete (txn, chunk);
+    }
+  hzb_store_txn (c->store, HZB_STORE_ACCEPT, txn, on_ended, held_new (c, g_strdup (job->uid)));
+}
+
+/* ---- the cloud ---- */
+
+static void
+on_types (guint status, const char *body, gsize length, gpointer user)
+{
+  HzbController *c = user;
+  GPtrArray *types = status == 200 ? hzb_wire_parse_types (body) : NULL;
+
+  c->asking_types = FALSE;
+  c->next_types = hzb_time_plus (hzb_clock_now (c->clock), types ? 60 : 1);
+  if (!types)
+    return;
+  hzb_machines_set_types (c->machines, types);
+}
+
+typedef struct
+{
+  Held held;
+  char *request, *type, *zone;
+  gboolean spot;
+  guint count, tries;
+} RentCall;
+
+static void
+rent_call_free (RentCall *call)
+{
+  g_free (call->request);
+  g_free (call->type);
+  g_free (call->zone);
+  g_free (call);
+}
+
+static void
+on_rented (guint status, const char *body, gsize length, gpointer user)
+{
+  RentCall *call = user;
+  HzbController *c = call->held.c;
+  struct timespec now = hzb_clock_now (c->clock);
+  g_autoptr (GPtrArray) names = status == 200 ? hzb_wire_parse_names (body) : NULL;
+  HzbRental rental = { NULL, call->zone, call->spot, call->count };
+
+  if (call->held.epoch != c->hold_epoch)
+    {
+      rent_call_free (call); /* what it rented shows in the list and by its workers */
+      return;
+    }
+  if (!names && status != 503 && status != 400 && call->tries++ < 4)
+    {
+      /* The same name again: if it was carried out, the answer is the same and nothing more is rented. */
+      hzb_cloud_rent (c->cloud, call->request, call->type, call->zone, call->spot, call->count, on_rented, call);
+      return;
+    }
+  c->renting--;
+  rental.type = hzb_machines_type (c->machines, call->type);
+  if (rental.type && (!names || names->len < call->count))
+    hzb_fleet_refused (c->fleet, &rental, now);
+  else if (rental.type)
+    hzb_fleet_granted (c->fleet, &rental);
+  for (guint i = 0; names && i < names->len; i++)
+    if (!hzb_machines_find (c->machines, names->pdata[i]))
+      hzb_machines_add (c->machines, names->pdata[i], NULL, call->type, call->zone, call->spot, HZB_MACHINE_BOOTING);
+  g_message ("asked for %u %s%s in %s: got %u", call->count, call->type, call->spot ? " (spot)" : "", call->zone,
+             names ? names->len : 0);
+  rent_call_free (call);
+}
+
+static void
+rent (HzbController *c, struct timespec now)
+{
+  g_autoptr (GArray) rentals = NULL;
+
+  if (c->renting || !hzb_election_proven (c->election) || !c->machines->types)
+    return;
+  rentals = hzb_fleet_rentals (c->fleet, now);
+  for (guint i = 0; i < rentals->len; i++)
+    {
+      const HzbRental *rental = &g_array_index (rentals, HzbRental, i);
+      RentCall *call = g_new0 (RentCall, 1);
+      call->held.c = c;
+      call->held.epoch = c->hold_epoch;
+      /* Terms are never used twice, so neither is a name. */
+      call->request = g_strdup_printf ("r-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, c->block->term, ++c->rent_number);
+      call->type = g_strdup (rental->type->name);
+      call->zone = g_strdup (rental->zone);
+      call->spot = rental->spot;
+      call->count = rental->count;
+      c->renting++;
+      hzb_cloud_rent (c->cloud, call->request, call->type, call->zone, call->spot, call->count, on_rented, call);
+    }
+}
+
+static void
+machine_is_gone (HzbController *c, HzbMachine *m)
+{
+  if (m->recorded || m->recording)
+    g_ptr_array_add (c->forget_keys, g_strconcat (HZB_KEY_MACHINES, m->name, NULL));
+  hzb_machine_lose_tasks (c->jobs, m);
+  hzb_machine_set_state (c->machines, m, HZB_MACHINE_GONE, "the cloud has confirmed it");
+  if (g_hash_table_size (c->gone) > 2000)
+    g_hash_table_remove_all (c->gone);
+  g_hash_table_add (c->gone, g_strdup (m->name));
+  hzb_machines_remove (c->machines, m);
+}
+
+static void
+on_returned (guint status, const char *body, gsize length, gpointer user)
+{
+  Held *held = user;
+  HzbController *c = held->c;
+  g_autoptr (GPtrArray) names = held->data;
+
+  if (held->epoch == c->hold_epoch)
+    {
+      c->returning--;
+      for (guint i = 0; status == 200 && i < names->len; i++)
+        {
+          HzbMachine *m = hzb_machines_find (c->machines, names->pdata[i]);
+          if (m && m->state == HZB_MACHINE_RETURNING)
+            machine_is_gone (c, m);
+        }
+      if (status != 200)
+        c->next_return = hzb_time_plus (hzb_clock_now (c->clock), 1);
+    }
+  g_free (held);
+}
+
+/* Machines that are to go back: first they take nothing new, then they are emptied, then the cloud is told. */
+static void
+give_back (HzbController *c, struct timespec now)
+{
+  GPtrArray *names;
+
+  for (guint i = 0; i < c->machines->all->len; i++)
+    {
+      HzbMachine *m = c->machines->all->pdata[i];
+      double in_state = hzb_time_between (m->since, now);
+      if (m->state == HZB_MACHINE_UNHEARD && hzb_time_between (c->hold_since, now) > c->settings->lease_s + 2)
+        m->wanted_back = TRUE; /* silence proves nothing: only the cloud can say that it is gone */
+      if (m->state == HZB_MACHINE_SILENT && in_state > FORGET_SILENT_S)
+        m->wanted_back = TRUE;
+      if (!m->wanted_back || m->state == HZB_MACHINE_RETURNING)
+        continue;
+      if (hzb_machine_listed (m))
+        hzb_machine_empty_lists (c->jobs, m);
+      if (m->state == HZB_MACHINE_ACTIVE && m->tasks->len)
+        hzb_machine_set_state (c->machines, m, HZB_MACHINE_DRAINING, "to be returned");
+      if (m->tasks->len == 0 || in_state > 120)
+        hzb_machine_set_state (c->machines, m, HZB_MACHINE_RETURNING, "to be returned");
+    }
+  if (c->returning || hzb_time_before (now, c->next_return))
+    return;
+  names = g_ptr_array_new_with_free_func (g_free);
+  for (guint i = 0; i < c->machines->all->len && names->len < 100; i++)
+    {
+      const HzbMachine *m = c->machines->all->pdata[i];
+      if (m->state == HZB_MACHINE_RETURNING)
+        g_ptr_array_add (names, g_strdup (m->name));
+    }
+  if (!names->len)
+    {
+      g_ptr_array_unref (names);
+      return;
+    }
+  c->returning++;
+  hzb_cloud_return (c->cloud, names, on_returned, held_new (c, names));
+}
+
+static void
+on_listed (guint status, const char *body, gsize length, gpointer user)
+{
+  g_autofree Held *held = user;
+  HzbController *c = held->c;
+  gboolean more = FALSE;
+  g_autoptr (GPtrArray) listed = status == 200 ? hzb_wire_parse_list (body, &more) : NULL;
+  struct timespec now = hzb_clock_now (c->clock);
+
+  if (held->epoch != c->hold_epoch)
+    return;
+  c->listing = FALSE;
+  g_clear_pointer (&c->list_after, g_free);
+  for (guint i = 0; listed && i < listed->len; i++)
+    {
+      const HzbListed *l = listed->pdata[i];
+      HzbMachine *m = hzb_machines_find (c->machines, l->name);
+      g_free (c->list_after);
+      c->list_after = g_strdup (l->name);
+      if (g_hash_table_contains (c->gone, l->name) || !l->type || !l->zone)
+        continue;
+      if (!m)
+        {
+          m = hzb_machines_add (c->machines, l->name, l->addr, l->type, l->zone, l->spot, HZB_MACHINE_BOOTING);
+          m->rented = hzb_time_plus (now, -l->age_s);
+        }
+      m->listed_by_cloud = TRUE;
+      if (l->state == HZB_LISTED_FAILED && m->state != HZB_MACHINE_RETURNING)
+        {
+          m->wanted_back = TRUE;
+          hzb_machine_set_state (c->machines, m, HZB_MACHINE_RETURNING, "the cloud calls it failed");
+        }
+    }
+  if (!more)
+    g_clear_pointer (&c->list_after, g_free);
+  c->next_list = hzb_time_plus (now, more ? 0.3 : MAX (4, c->settings->list_lag_s));
+}
+
+/* ---- over time ---- */
+
+static void
+check_leases (HzbController *c, struct timespec now)
+{
+  double over = c->settings->lease_s * 1.002 + LEASE_SLACK_S;
+
+  if (!hzb_election_proven (c->election))
+    return; /* a newer holder could have renewed them */
+  for (guint i = 0; i < c->machines->all->len; i++)
+    {
+      HzbMachine *m = c->machines->all->pdata[i];
+      if ((m->state == HZB_MACHINE_ACTIVE || m->state == HZB_MACHINE_DRAINING) && m->confirmed
+          && hzb_time_between (m->answered, now) > over)
+        {
+          hzb_machine_lose_tasks (c->jobs, m);
+          hzb_machine_set_state (c->machines, m, HZB_MACHINE_SILENT, "its lease is over");
+        }
+      else if (m->state == HZB_MACHINE_ACTIVE && hzb_time_between (m->heard, now) > 3 * c->settings->report_s
+               && hzb_machine_listed (m))
+        hzb_machine_empty_lists (c->jobs, m); /* others may take what waits for a quiet machine */
+    }
+}
+
+static void
+tend_jobs (HzbController *c, struct timespec now)
+{
+  for (guint i = 0; i < c->jobs->active->len; i++)
+    {
+      HzbJob *job = c->jobs->active->pdata[i];
+      if (job->state == HZB_JOB_ACCEPTED)
+        {
+          if (job->finished + job->done == job->n_tasks)
+            hzb_controller_end_job (c, job);
+          continue;
+        }
+      for (guint k = 0; job->listed && k < job->n_tasks; k++)
+        if (job->tasks[k].state == HZB_TASK_LISTED)
+          hzb_task_set_state (c->jobs, &job->tasks[k], HZB_TASK_PENDING, NULL);
+      for (guint k = 0; job->placed && k < job->n_tasks; k++)
+        if (job->tasks[k].state == HZB_TASK_BOOKED)
+          hzb_task_set_state (c->jobs, &job->tasks[k], HZB_TASK_PENDING, NULL);
+      if (!job->placed && !job->unknown && !job->ending)
+        {
+          for (guint k = 0; k < hzb_job_chunks (job) && job->has_progress; k++)
+            g_ptr_array_add (c->forget_keys, g_strdup_printf ("%s%s/%u", HZB_KEY_PROGRESS, job->uid, k));
+          hzb_jobs_retire (c->jobs, job);
+          i--;
+        }
+    }
+}
+
+static void
+hold_tick (HzbController *c, struct timespec now)
+{
+  if (c->hold == HZB_HOLD_RECOVERING && hzb_machines_all_heard (c->machines))
+    {
+      hzb_jobs_resolve_unknown (c->jobs);
+      set_hold (c, HZB_HOLD_FULL, "every machine has answered or is gone");
+    }
+  check_leases (c, now);
+  tend_jobs (c, now);
+  give_back (c, now);
+  if (!hzb_time_before (now, c->next_plan))
+    {
+      c->next_plan = hzb_time_plus (now, 1);
+      if (hzb_election_proven (c->election))
+        {
+          g_autoptr (GPtrArray) back = hzb_fleet_returns (c->fleet, now);
+          for (guint i = 0; i < back->len; i++)
+            ((HzbMachine *) back->pdata[i])->wanted_back = TRUE;
+        }
+      rent (c, now);
+      hzb_dispatch_guarantees (c->dispatch);
+    }
+  if (!hzb_time_before (now, c->next_dispatch))
+    {
+      c->next_dispatch = hzb_time_plus (now, 0.2);
+      hzb_dispatch_run (c->dispatch, now);
+    }
+  if (!hzb_time_before (now, c->next_list) && !c->listing)
+    {
+      c->listing = TRUE;
+      c->next_list = hzb_time_plus (now, 10);
+      hzb_cloud_list (c->cloud, c->list_after, on_listed, held_new (c, NULL));
+    }
+  hzb_controller_flush_soon (c);
+}
+
+/* ---- peers ---- */
+
+static cJSON *
+peer_word (HzbController *c)
+{
+  cJSON *root = cJSON_CreateObject ();
+  double silence = hzb_store_silence (c->store);
+
+  cJSON_AddStringToObject (root, "node", c->settings->node);
+  cJSON_AddBoolToObject (root, "leads", hzb_election_leading (c->election));
+  hzb_json_add_u64 (root, "term", hzb_election_leader_term (c->election));
+  cJSON_AddNumberToObject (root, "storeSilenceS", MIN (silence, 1e6));
+  if (c->hold >= HZB_HOLD_RECOVERING)
+    {
+      cJSON *list = cJSON_AddObjectToObject (root, "jobs");
+      for (guint i = 0; i < MIN (c->jobs->active->len, 200); i++)
+        {
+          const HzbJob *job = c->jobs->active->pdata[i];
+          int counts[2] = { (int) (job->done + job->finished), (int) job->running };
+          if (counts[0] || counts[1])
+            cJSON_AddItemToObject (list, job->uid, cJSON_CreateIntArray (counts, 2));
+        }
+    }
+  return root;
+}
+
+static void
+take_peer_word (HzbController *c, HzbPeerView *view, const cJSON *root)
+{
+  const cJSON *item;
+  view->heard = hzb_clock_now (c->clock);
+  view->store_silence = hzb_json_number (root, "storeSilenceS", 1e6);
+  view->term = hzb_json_u64 (root, "term");
+  view->leads = cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (root, "leads"));
+  if (view->leads)
+    {
+      g_hash_table_remove_all (c->display);
+      cJSON_ArrayForEach (item, cJSON_GetObjectItemCaseSensitive (root, "jobs"))
+        {
+          const cJSON *done = cJSON_GetArrayItem (item, 0), *running = cJSON_GetArrayItem (item, 1);
+          if (done && running)
+            g_hash_table_insert (c->display, g_strdup (item->string),
+                                 GSIZE_TO_POINTER (((gsize) done->valueint << 24) | (gsize) running->valueint));
+        }
+    }
+  /* A holder that the state service does not reach learns here that it has been replaced. */
+  if (view->term > hzb_election_term (c->election))
+    hzb_election_step_down (c->election, "a peer knows a newer term");
+}
+
+typedef struct
+{
+  HzbController *c;
+  guint at;
+} PeerCall;
+
+static void
+on_peer (guint status, const char *body, gsize length, gpointer user)
+{
+  g_autofree PeerCall *call = user;
+  HzbPeerView *view = &g_array_index (call->c->peers, HzbPeerView, call->at);
+  cJSON *root = status == 200 ? cJSON_ParseWithLength (body, length) : NULL;
+
+  view->asking = FALSE;
+  if (root)
+    take_peer_word (call->c, view, root);
+  cJSON_Delete (root);
+}
+
+static void
+ask_peers (HzbController *c)
+{
+  for (guint i = 0; i < c->peers->len; i++)
+    {
+      HzbPeerView *view = &g_array_index (c->peers, HzbPeerView, i);
+      PeerCall *call;
+      cJSON *root;
+      if (view->asking)
+        continue;
+      view->asking = TRUE;
+      call = g_new0 (PeerCall, 1);
+      call->c = c;
+      call->at = i;
+      root = peer_word (c);
+      hzb_send (c->transport, "POST", view->peer->address, "/peer/v1/word", cJSON_PrintUnformatted (root), 1500, on_peer, call);
+      cJSON_Delete (root);
+    }
+}
+
+void
+hzb_controller_peer_request (HzbExchange *exchange, gpointer user)
+{
+  HzbController *c = user;
+  cJSON *root = cJSON_ParseWithLength (exchange->body, exchange->length);
+  const char *node = hzb_json_text (root, "node");
+  cJSON *word = NULL;
+
+  for (guint i = 0; node && i < c->peers->len; i++)
+    {
+      HzbPeerView *view = &g_array_index (c->peers, HzbPeerView, i);
+      if (g_str_equal (view->peer->node, node))
+        {
+          take_peer_word (c, view, root);
+          word = peer_word (c);
+        }
+    }
+  if (word)
+    hzb_exchange_reply (exchange, 200, cJSON_PrintUnformatted (word), 0);
+  else
+    hzb_exchange_reply (exchange, 400, hzb_wire_error ("not a word of a peer"), 0);
+  cJSON_Delete (word);
+  cJSON_Delete (root);
+}
+
+/* In an outage of the state service for all, a holder goes on answering workers, so that their leases live.
+ * One that is refused alone, or cut off from everything, gives way to those that are not. */
+static void
+watch_own_standing (HzbController *c)
+{
+  double silence = hzb_store_silence (c->store);
+
+  if (!hzb_election_leading (c->election) || silence < 5)
+    return;
+  if (peer_is_served (c))
+    hzb_election_step_down (c->election, "the state service refuses this node alone");
+  else if (silence > 9 && !any_peer_heard (c))
+    hzb_election_step_down (c->election, "neither the state service nor a peer can be reached");
+}
+
+/* ---- life ---- */
+
+void
+hzb_controller_tick (HzbController *c)
+{
+  struct timespec now = hzb_clock_now (c->clock);
+
+  hzb_store_pump (c->store);
+  hzb_cloud_pump (c->cloud);
+  mirror_step (c);
+  hzb_election_tick (c->election, mirror_is_fresh (c));
+  watch_own_standing (c);
+  if (hzb_election_leading (c->election) && c->hold != HZB_HOLD_NONE
+      && c->block->term != hzb_election_term (c->election))
+    end_hold (c); /* elected anew before the loss was seen */
+  if (hzb_election_leading (c->election) && c->hold == HZB_HOLD_NONE
+      && hzb_election_leader_seen (c->election))
+    begin_hold (c);
+  else if (!hzb_election_leading (c->election) && c->hold != HZB_HOLD_NONE)
+    end_hold (c);
+  if (c->hold >= HZB_HOLD_RECOVERING)
+    hold_tick (c, now);
+  if (!c->asking_types && !hzb_time_before (now, c->next_types)
+      && (!c->machines->types || hzb_election_leading (c->election)))
+    {
+      c->asking_types = TRUE;
+      hzb_cloud_types (c->cloud, on_types, c);
+    }
+  if (!hzb_time_before (now, c->next_peers))
+    {
+      c->next_peers = hzb_time_plus (now, 1);
+      ask_peers (c);
+    }
+  hzb_api_tick (c->api);
+}
+
+void
+hzb_controller_request (HzbExchange *exchange, gpointer user)
+{
+  HzbController *c = user;
+
+  if (g_str_equal (exchange->path, hzb_path_report))
+    {
+      if (g_str_equal (exchange->method, "POST"))
+        hzb_gateway_report (c, exchange);
+      else
+        hzb_exchange_reply (exchange, 405, hzb_wire_error ("POST a report here"), 0);
+    }
+  else if (g_str_equal (exchange->path, hzb_path_ready))
+    {
+      if (!g_str_equal (exchange->method, "GET"))
+        hzb_exchange_reply (exchange, 405, hzb_wire_error ("GET here"), 0);
+      else if (hzb_controller_ready (c))
+        hzb_exchange_reply (exchange, 200, g_strdup ("{\"ready\":true}"), 0);
+      else
+        hzb_exchange_reply (exchange, 503, hzb_wire_error ("not ready"), 1);
+    }
+  else if (!hzb_admin_request (c, exchange))
+    hzb_api_request (c->api, exchange);
+}
+
+HzbController *
+hzb_controller_new (HzbSettings *settings, HzbClock *clock, HzbTransport *transport, guint32 seed)
+{
+  HzbController *c = g_new0 (HzbController, 1);
+  c->settings = settings;
+  c->clock = clock;
+  c->transport = transport;
+  c->rand = g_rand_new_with_seed (seed);
+  c->store = hzb_store_new (transport, clock, settings);
+  c->cloud = hzb_cloud_new (transport, clock, settings);
+  c->election = hzb_election_new (c->store, clock, settings, c->rand);
+  c->jobs = hzb_jobs_new (clock, settings);
+  c->machines = hzb_machines_new (clock, settings);
+  c->dispatch = hzb_dispatch_new (c->jobs, c->machines, settings, c->rand);
+  c->fleet = hzb_fleet_new (c->jobs, c->machines, settings);
+  c->api = hzb_api_new (c);
+  c->display = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  c->gone = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  c->forget_keys = g_ptr_array_new_with_free_func (g_free);
+  c->peers = g_array_new (FALSE, TRUE, sizeof (HzbPeerView));
+  for (guint i = 0; i < settings->peers->len; i++)
+    {
+      HzbPeerView view = { .peer = settings->peers->pdata[i], .store_silence = 1e6 };
+      g_array_append_val (c->peers, view);
+    }
+  return c;
+}
+
+void
+hzb_controller_free (HzbController *c)
+{
+  hzb_api_free (c->api);
+  hzb_jobs_let_go (c->jobs);
+  hzb_machines_clear (c->machines);
+  hzb_fleet_free (c->fleet);
+  hzb_dispatch_free (c->dispatch);
+  hzb_jobs_free (c->jobs);
+  hzb_machines_free (c->machines);
+  hzb_block_free (c->block);
+  hzb_election_free (c->election);
+  hzb_cloud_free (c->cloud);
+  hzb_store_free (c->store);
+  g_hash_table_unref (c->display);
+  g_hash_table_unref (c->gone);
+  g_ptr_array_unref (c->forget_keys);
+  g_array_unref (c->peers);
+  g_free (c->load_after);
+  g_free (c->hold_after);
+  g_free (c->list_after);
+  g_rand_free (c->rand);
+  g_free (c);
+}
--- /dev/null
+++ b/src/dispatch.c
@@ -0,0 +1,543 @@
+#include "dispatch.h"
+
+#include <math.h>
+#include <string.h>
+
+/* What lower-priority work on a machine counts for a task that could have it stopped. */
+#define PREEMPTIBLE_PART 0.3
+#define NEARLY_DONE_S 5.0
+
+HzbDispatch *
+hzb_dispatch_new (HzbJobs *jobs, HzbMachines *machines, const HzbSettings *settings, GRand *rand)
+{
+  HzbDispatch *d = g_new0 (HzbDispatch, 1);
+  d->jobs = jobs;
+  d->machines = machines;
+  d->settings = settings;
+  d->rand = rand;
+  d->h = 0.5;
+  d->sample = 8;
+  return d;
+}
+
+void
+hzb_dispatch_free (HzbDispatch *d)
+{
+  g_free (d);
+}
+
+double
+hzb_job_mean_s (const HzbJob *job)
+{
+  return MAX (job->spec->estimate_s, 0.1);
+}
+
+static double
+remaining_s (const HzbTask *task, struct timespec now)
+{
+  double mean = hzb_job_mean_s (task->job);
+  if (task->state == HZB_TASK_RUNNING)
+    return MAX (mean - hzb_time_between (task->since, now), 0.15 * mean);
+  return mean;
+}
+
+static gboolean
+may_preempt (HzbDispatch *d, const HzbJob *needy, const HzbTask *victim)
+{
+  const HzbBlock *block = d->jobs->block;
+  const HzbJob *other = victim->job;
+  const HzbTeam *team;
+
+  if (other->spec->urgency < needy->spec->urgency)
+    return TRUE;
+  if (!needy->guaranteed || other->team == needy->team || other->guaranteed)
+    return FALSE;
+  team = d->settings->teams->pdata[other->team];
+  return block->cpus[other->team] - other->spec->cpus >= team->cpus - 1e-6
+         && block->gpus[other->team] - other->spec->gpus >= team->gpus - 1e-6;
+}
+
+void
+hzb_dispatch_rebook (HzbDispatch *d, HzbMachine *m, struct timespec now)
+{
+  double booked[HZB_N_CLASSES] = { 0 };
+
+  if (!m->type)
+    return;
+  for (guint i = 0; i < m->tasks->len; i++)
+    {
+      const HzbTask *task = m->tasks->pdata[i];
+      guint class = hzb_job_class (task->job), v = MAX (1, hzb_type_speed (m->type, task->job->spec));
+      double work = remaining_s (task, now) / v;
+      for (guint c = 0; c < HZB_N_CLASSES; c++)
+        booked[c] += c <= class ? work : work * PREEMPTIBLE_PART;
+    }
+  for (guint class = 0; class < HZB_N_CLASSES; class++)
+    for (GList *l = m->lists[class].head; l; l = l->next)
+      {
+        const HzbTask *task = l->data;
+        double work = hzb_job_mean_s (task->job) / MAX (1, hzb_type_speed (m->type, task->job->spec));
+        for (guint c = 0; c <= class; c++)
+          booked[c] += work;
+      }
+  for (guint c = 0; c < HZB_N_CLASSES; c++)
+    hzb_estimate_reset (&m->estimates[c], now, booked[c]);
+  m->stale_estimate = FALSE;
+}
+
+static double
+fetch_s (const HzbMachine *m, const HzbSpec *spec)
+{
+  if (g_hash_table_contains (m->images, spec->image))
+    return 0;
+  return spec->image_gb / MAX (m->type->fetch_gb_per_s, 1e-3);
+}
+
+/* samePlace and spread, given the job's tasks that are, or may be, on machines. */
+static gboolean
+zone_allowed (const HzbJob *job, const HzbMachine *m)
+{
+  guint here = 0;
+
+  if (!job->spec->same_zone && !job->spec->spread)
+    return TRUE;
+  if (job->unknown)
+    return FALSE;
+  for (guint i = 0; i < job->n_tasks; i++)
+    {
+      const HzbTask *task = &job->tasks[i];
+      if (!hzb_task_on_machine (task))
+        continue;
+      if (g_str_equal (task->machine->zone, m->zone))
+        here++;
+      else if (job->spec->same_zone)
+        return FALSE;
+    }
+  return !job->spec->spread || here + 1 <= (job->n_tasks + 1) / 2;
+}
+
+HzbMachine *
+hzb_dispatch_choose (HzbDispatch *d, HzbJob *job, struct timespec now)
+{
+  guint n = d->machines->all->len, class = hzb_job_class (job);
+  guint looks = d->lagging && d->sample < n ? d->sample : n;
+  guint first = looks < n ? (guint) g_rand_int_range (d->rand, 0, (gint32) n) : 0;
+  guint step = 1;
+  HzbMachine *best = NULL;
+  double least = INFINITY;
+
+  if (looks < n && n > 2)
+    step = n / looks;
+  for (guint i = 0; i < looks; i++)
+    {
+      HzbMachine *m = d->machines->all->pdata[(first + i * step) % n];
+      double u, v;
+      if (!hzb_machine_usable (m) || !hzb_machine_allowed (m, job->spec)
+          || g_strcmp0 (m->last_failed_job, job->uid) == 0)
+        continue;
+      v = hzb_type_speed (m->type, job->spec);
+      if (v < 1)
+        continue; /* holds none: skipped */
+      hzb_estimate_shift (&m->estimates[class], now);
+      u = hzb_estimate_mean (&m->estimates[class]) + d->h * hzb_job_mean_s (job) / v + fetch_s (m, job->spec);
+      if (u < least)
+        {
+          least = u;
+          best = m;
+        }
+    }
+  return best;
+}
+
+static void
+put_on_list (HzbDispatch *d, HzbTask *task, HzbMachine *m, struct timespec now)
+{
+  guint class = hzb_job_class (task->job);
+  double mean = hzb_job_mean_s (task->job) / MAX (1, hzb_type_speed (m->type, task->job->spec));
+
+  hzb_task_set_state (d->jobs, task, HZB_TASK_LISTED, m);
+  for (guint c = 0; c <= class; c++)
+    {
+      hzb_estimate_shift (&m->estimates[c], now);
+      hzb_estimate_send (&m->estimates[c], mean);
+    }
+}
+
+/* A job is within its team's guarantee when it fits there together with the team's earlier unfinished jobs. */
+void
+hzb_dispatch_guarantees (HzbDispatch *d)
+{
+  guint n = d->settings->teams->len;
+  g_autofree double *cpus = g_new0 (double, n), *gpus = g_new0 (double, n);
+
+  for (guint i = 0; i < d->jobs->active->len; i++) /* by age */
+    {
+      HzbJob *job = d->jobs->active->pdata[i];
+      const HzbTeam *team = d->settings->teams->pdata[job->team];
+      gboolean guaranteed;
+      if (job->state != HZB_JOB_ACCEPTED)
+        continue;
+      cpus[job->team] += job->spec->cpus * job->n_tasks;
+      gpus[job->team] += job->spec->gpus * job->n_tasks;
+      guaranteed = cpus[job->team] <= team->cpus + 1e-6 && gpus[job->team] <= team->gpus + 1e-6;
+      if (guaranteed != job->guaranteed)
+        {
+          /* Its class changes: what waits in lists goes through them anew. */
+          for (guint k = 0; job->listed && k < job->n_tasks; k++)
+            if (job->tasks[k].state == HZB_TASK_LISTED)
+              hzb_task_set_state (d->jobs, &job->tasks[k], HZB_TASK_PENDING, NULL);
+          job->guaranteed = guaranteed;
+        }
+    }
+}
+
+static gint
+by_class (gconstpointer a, gconstpointer b)
+{
+  const HzbJob *x = *(HzbJob *const *) a, *y = *(HzbJob *const *) b;
+  int order = (int) hzb_job_class (y) - (int) hzb_job_class (x);
+  if (order)
+    return order;
+  if (hzb_time_before (x->accepted, y->accepted))
+    return -1;
+  return hzb_time_before (y->accepted, x->accepted) ? 1 : strcmp (x->uid, y->uid);
+}
+
+/* ---- gangs ---- */
+
+/* A gang starts when there is room for all of it at once. */
+static gboolean
+place_gang (HzbDispatch *d, HzbJob *job, struct timespec now)
+{
+  const HzbSpec *spec = job->spec;
+  GPtrArray *all = d->machines->all;
+  g_autofree guint *taken = g_new0 (guint, all->len);
+  g_autoptr (GPtrArray) zones = g_ptr_array_new ();
+  const HzbBlock *block = d->jobs->block;
+  guint n = job->n_tasks, half = (n + 1) / 2;
+
+  if (job->pending != n || job->released < n || hzb_time_before (now, job->not_before))
+    return FALSE;
+  if (!hzb_block_fits (block, job->team, spec->cpus * n, spec->gpus * n))
+    return FALSE;
+  for (guint i = 0; i < all->len; i++)
+    {
+      HzbMachine *m = all->pdata[i];
+      gboolean known = FALSE;
+      for (guint z = 0; z < zones->len; z++)
+        known = known || g_str_equal (zones->pdata[z], m->zone);
+      if (!known)
+        g_ptr_array_add (zones, m->zone);
+    }
+  /* samePlace: each zone by itself; otherwise all zones together. */
+  for (guint z = 0; z < (spec->same_zone ? zones->len : 1); z++)
+    {
+      guint left = n;
+      g_autoptr (GHashTable) in_zone = g_hash_table_new (g_str_hash, g_str_equal);
+      memset (taken, 0, all->len * sizeof *taken);
+      while (left)
+        {
+          HzbMachine *best = NULL;
+          guint at = 0;
+          double least = INFINITY;
+          for (guint i = 0; i < all->len; i++)
+            {
+              HzbMachine *m = all->pdata[i];
+              guint here = GPOINTER_TO_UINT (g_hash_table_lookup (in_zone, m->zone));
+              double cost;
+              if (!hzb_machine_usable (m) || !hzb_machine_allowed (m, spec)
+                  || (spec->same_zone && !g_str_equal (zones->pdata[z], m->zone)) || (spec->spread && here >= half)
+                  || m->cpus + spec->cpus * (taken[i] + 1) > m->type->cpus + 1e-6
+                  || m->gpus + spec->gpus * (taken[i] + 1) > m->type->gpus + 1e-6
+                  || m->memory + spec->memory_gb * (taken[i] + 1) > m->type->memory_gb + 1e-6)
+                continue;
+              hzb_estimate_shift (&m->estimates[hzb_job_class (job)], now);
+              cost = hzb_estimate_mean (&m->estimates[hzb_job_class (job)]) + fetch_s (m, spec);
+              if (cost < least)
+                {
+                  least = cost;
+                  best = m;
+                  at = i;
+                }
+            }
+          if (!best)
+            break;
+          taken[at]++;
+          left--;
+          g_hash_table_insert (in_zone, best->zone,
+                               GUINT_TO_POINTER (GPOINTER_TO_UINT (g_hash_table_lookup (in_zone, best->zone)) + 1));
+        }
+      if (!left)
+        {
+          guint next = 0;
+          job->next_attempt++;
+          for (guint i = 0; i < all->len; i++)
+            for (guint k = 0; k < taken[i]; k++)
+              {
+                HzbTask *task = &job->tasks[next++];
+                task->attempt = job->next_attempt;
+                hzb_task_set_state (d->jobs, task, HZB_TASK_BOOKED, all->pdata[i]);
+              }
+          job->cursor = n;
+          return TRUE;
+        }
+    }
+  return FALSE;
+}
+
+/* A gang that waits halts list starts of lower classes on machines it could use. */
+static gboolean
+halted_by_gang (HzbDispatch *d, const HzbMachine *m, guint class, struct timespec now)
+{
+  for (guint i = 0; i < d->jobs->active->len; i++)
+    {
+      const HzbJob *job = d->jobs->active->pdata[i];
+      if (job->spec->gang && job->state == HZB_JOB_ACCEPTED && job->pending == job->n_tasks
+          && hzb_job_class (job) >= class && !hzb_time_before (now, job->not_before)
+          && hzb_machine_allowed (m, job->spec) && hzb_time_between (job->since, now) > 5)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+void
+hzb_dispatch_run (HzbDispatch *d, struct timespec now)
+{
+  g_autoptr (GPtrArray) order = g_ptr_array_new ();
+  const HzbBlock *block = d->jobs->block;
+  guint n = block->n_teams;
+  g_autofree double *cpus = g_new0 (double, n), *gpus = g_new0 (double, n);
+  guint budget = d->lagging ? 50 : 400;
+
+  for (guint i = 0; i < d->machines->all->len; i++)
+    {
+      HzbMachine *m = d->machines->all->pdata[i];
+      if (m->stale_estimate && hzb_machine_usable (m))
+        hzb_dispatch_rebook (d, m, now);
+    }
+  for (guint i = 0; i < d->jobs->active->len; i++)
+    {
+      HzbJob *job = d->jobs->active->pdata[i];
+      cpus[job->team] += job->listed * job->spec->cpus;
+      gpus[job->team] += job->listed * job->spec->gpus;
+      if (job->state == HZB_JOB_ACCEPTED && job->pending)
+        g_ptr_array_add (order, job);
+    }
+  g_ptr_array_sort (order, by_class);
+  for (guint i = 0; i < order->len && budget; i++)
+    {
+      HzbJob *job = order->pdata[i];
+      const HzbSpec *spec = job->spec;
+      if (hzb_time_before (now, job->not_before))
+        continue;
+      if (spec->gang)
+        {
+          place_gang (d, job, now);
+          continue;
+        }
+      /* Only as much goes to lists as the team may use: what waits for its limit holds nobody up. */
+      while (budget && hzb_block_fits (block, job->team, cpus[job->team] + spec->cpus, gpus[job->team] + spec->gpus))
+        {
+          HzbTask *task = hzb_job_next_pending (job, now);
+          HzbMachine *m;
+          if (!task)
+            break;
+          m = hzb_dispatch_choose (d, job, now);
+          if (!m)
+            {
+              g_queue_push_head (&job->retry, task);
+              break;
+            }
+          put_on_list (d, task, m, now);
+          cpus[job->team] += spec->cpus;
+          gpus[job->team] += spec->gpus;
+          budget--;
+        }
+    }
+}
+
+/* ---- at a report ---- */
+
+static gboolean
+startable (HzbDispatch *d, const HzbTask *task, const HzbMachine *m)
+{
+  const HzbSpec *spec = task->job->spec;
+  return task->job->state == HZB_JOB_ACCEPTED && hzb_block_fits (d->jobs->block, task->job->team, spec->cpus, spec->gpus)
+         && zone_allowed (task->job, m);
+}
+
+static void
+start (HzbDispatch *d, HzbTask *task, HzbMachine *m, GArray *orders)
+{
+  HzbOrder order = { HZB_ORDER_START, task->job->uid, task->index, 0, 0 };
+
+  if (task->state == HZB_TASK_LISTED && task->machine != m)
+    hzb_task_set_state (d->jobs, task, HZB_TASK_PENDING, NULL); /* moved: it was never sent there */
+  if (task->state == HZB_TASK_PENDING)
+    {
+      g_queue_remove (&task->job->retry, task);
+      hzb_task_set_state (d->jobs, task, HZB_TASK_LISTED, m);
+    }
+  if (!task->job->spec->gang)
+    task->attempt = ++task->job->next_attempt;
+  order.attempt = task->attempt;
+  if (hzb_task_set_state (d->jobs, task, HZB_TASK_STARTING, m))
+    g_array_append_val (orders, order);
+}
+
+/* The unstarted task that the machine should take from another's list. */
+static HzbTask *
+find_move (HzbDispatch *d, HzbMachine *m, guint class, gboolean cached)
+{
+  HzbTask *best = NULL;
+  double most = -1;
+
+  for (guint i = 0; i < d->machines->all->len; i++)
+    {
+      HzbMachine *other = d->machines->all->pdata[i];
+      guint looks = 0;
+      double u;
+      if (other == m || !other->lists[class].length)
+        continue;
+      u = hzb_estimate_mean (&other->estimates[class]);
+      if (u <= most)
+        continue;
+      for (GList *l = other->lists[class].head; l && looks < 8; l = l->next, looks++)
+        {
+          HzbTask *task = l->data;
+          const HzbSpec *spec = task->job->spec;
+          if ((cached && !g_hash_table_contains (m->images, spec->image)) || !hzb_machine_allowed (m, spec)
+              || !hzb_machine_has_room (m, spec) || g_strcmp0 (m->last_failed_job, task->job->uid) == 0
+              || !startable (d, task, m))
+            continue;
+          best = task;
+          most = u;
+          break;
+        }
+    }
+  return best;
+}
+
+static double
+preempt_after_s (HzbDispatch *d, const HzbJob *job)
+{
+  double after = 8;
+  for (guint i = 0; i < d->settings->objectives->len; i++)
+    {
+      const HzbObjective *o = d->settings->objectives->pdata[i];
+      if ((g_strcmp0 (o->kind, "wait") == 0 && g_strcmp0 (o->lane, job->spec->lane) == 0)
+          || (g_strcmp0 (o->kind, "guarantee") == 0 && job->guaranteed))
+        after = MIN (after, o->within_s * 0.25);
+    }
+  return after;
+}
+
+/* Stops lower work for tasks of this machine's list that have waited long enough. */
+static void
+preempt (HzbDispatch *d, HzbMachine *m, struct timespec now, GArray *orders)
+{
+  double cpus = m->type->cpus - m->cpus, gpus = m->type->gpus - m->gpus, memory = m->type->memory_gb - m->memory;
+  guint looks = 0;
+
+  for (guint i = 0; i < m->tasks->len; i++)
+    {
+      const HzbTask *task = m->tasks->pdata[i];
+      if (task->stopping)
+        {
+          cpus += task->job->spec->cpus;
+          gpus += task->job->spec->gpus;
+          memory += task->job->spec->memory_gb;
+        }
+    }
+  for (guint class = HZB_N_CLASSES - 1; class >= 3; class--)
+    for (GList *l = m->lists[class].head; l && looks < 32; l = l->next, looks++)
+      {
+        HzbTask *needy = l->data;
+        const HzbSpec *spec = needy->job->spec;
+        if (hzb_time_between (needy->job->since, now) < preempt_after_s (d, needy->job) || !startable (d, needy, m))
+          continue;
+        while (cpus + 1e-6 < spec->cpus || gpus + 1e-6 < spec->gpus || memory + 1e-6 < spec->memory_gb)
+          {
+            HzbTask *victim = NULL;
+            double least = INFINITY;
+            HzbOrder order = { HZB_ORDER_STOP, NULL, 0, 0, 0 };
+            for (guint i = 0; i < m->tasks->len; i++)
+              {
+                HzbTask *task = m->tasks->pdata[i];
+                const HzbSpec *other = task->job->spec;
+                double ran = hzb_time_between (task->since, now), cost;
+                if (task->stopping || other->gang || (task->state != HZB_TASK_RUNNING && task->state != HZB_TASK_FETCHING)
+                    || !may_preempt (d, needy->job, task))
+                  continue;
+                if (task->state == HZB_TASK_RUNNING && remaining_s (task, now) < NEARLY_DONE_S)
+                  continue;
+                cost = task->state == HZB_TASK_FETCHING ? 0 : other->checkpoint_s > 0 ? other->save_s : ran;
+                cost += other->urgency * 1000.0;
+                if (cost < least)
+                  {
+                    least = cost;
+                    victim = task;
+                  }
+              }
+            if (!victim)
+              return;
+            victim->stopping = TRUE;
+            order.uid = victim->job->uid;
+            order.task = victim->index;
+            order.attempt = victim->attempt;
+            order.grace_s = victim->job->spec->checkpoint_s > 0 ? victim->job->spec->save_s + 1 : 0;
+            g_array_append_val (orders, order);
+            cpus += victim->job->spec->cpus;
+            gpus += victim->job->spec->gpus;
+            memory += victim->job->spec->memory_gb;
+          }
+        cpus -= spec->cpus;
+        gpus -= spec->gpus;
+        memory -= spec->memory_gb;
+      }
+}
+
+void
+hzb_dispatch_fill (HzbDispatch *d, HzbMachine *m, struct timespec now, GArray *orders)
+{
+  if (!hzb_machine_usable (m))
+    return;
+  /* Places held for gangs come first: they were counted as taken when they were booked. */
+  for (guint i = 0; i < m->tasks->len; i++)
+    {
+      HzbTask *task = m->tasks->pdata[i];
+      if (task->state == HZB_TASK_BOOKED)
+        {
+          start (d, task, m, orders);
+          i = G_MAXUINT; /* the array was changed */
+        }
+    }
+  for (gint class = HZB_N_CLASSES - 1; class >= 0; class--)
+    {
+      gboolean held_up = FALSE;
+      if (halted_by_gang (d, m, (guint) class, now))
+        break;
+      for (GList *l = m->lists[class].head; l;)
+        {
+          HzbTask *task = l->data;
+          l = l->next;
+          if (!startable (d, task, m))
+            continue;
+          if (!hzb_machine_has_room (m, task->job->spec))
+            {
+              held_up = TRUE; /* first come: nothing of this class or a lower one goes past it */
+              break;
+            }
+          start (d, task, m, orders);
+        }
+      if (held_up)
+        break;
+      for (guint cached = 2; cached-- > 0;)
+        {
+          HzbTask *task;
+          while ((task = find_move (d, m, (guint) class, cached == 1)))
+            start (d, task, m, orders);
+        }
+    }
+  preempt (d, m, now, orders);
+}
--- /dev/null
+++ b/src/dispatch.h
@@ -0,0 +1,30 @@
+/* What runs where. Tasks go to the machine with the least U + h/v and wait in its first-come list;
+ * a machine's report is answered with the starts that fit. No I/O, no clock of its own. */
+#pragma once
+#include "machines.h"
+
+typedef struct
+{
+  HzbJobs *jobs;
+  HzbMachines *machines;
+  const HzbSettings *settings;
+  GRand *rand;
+  double h;
+  guint sample;         /* machines looked at for one task when lagging; 0: all */
+  gboolean lagging;     /* more is asked than can be done: samples in place of full searches */
+  struct timespec next_preempt;
+} HzbDispatch;
+
+HzbDispatch *hzb_dispatch_new (HzbJobs *jobs, HzbMachines *machines, const HzbSettings *settings, GRand *rand);
+void hzb_dispatch_free (HzbDispatch *dispatch);
+
+/* The rule: the least U + h/v among machines that may hold the task; NULL if there is none. */
+HzbMachine *hzb_dispatch_choose (HzbDispatch *dispatch, HzbJob *job, struct timespec now);
+/* Waiting tasks to lists, gangs to places. */
+void hzb_dispatch_run (HzbDispatch *dispatch, struct timespec now);
+/* A report came: the distribution goes back to the booked work. */
+void hzb_dispatch_rebook (HzbDispatch *dispatch, HzbMachine *machine, struct timespec now);
+/* Orders for a machine that has just reported. */
+void hzb_dispatch_fill (HzbDispatch *dispatch, HzbMachine *machine, struct timespec now, GArray *orders);
+double hzb_job_mean_s (const HzbJob *job);
+void hzb_dispatch_guarantees (HzbDispatch *dispatch);
--- /dev/null
+++ b/src/election.h
@@ -0,0 +1,34 @@
+/* Leadership by a lease of the state service. The term comes from one counter that is raised in the
+ * transaction that takes the leadership, so a later leader's term exceeds all before it. */
+#pragma once
+#include "store.h"
+
+#define HZB_KEY_LEADER "hzb/a/leader"
+#define HZB_KEY_TERM "hzb/a/term"
+
+typedef enum
+{
+  HZB_ELECTION_FOLLOWING,
+  HZB_ELECTION_ENDING_OLD, /* an earlier incarnation of this node still holds the lease */
+  HZB_ELECTION_LEASING,
+  HZB_ELECTION_CAMPAIGNING,
+  HZB_ELECTION_LEADING
+} HzbElectionState;
+
+typedef struct _HzbElection HzbElection;
+
+HzbElection *hzb_election_new (HzbStore *store, HzbClock *clock, const HzbSettings *settings, GRand *rand);
+void hzb_election_free (HzbElection *election);
+void hzb_election_item (HzbElection *election, const HzbItem *item); /* from the mirror */
+void hzb_election_tick (HzbElection *election, gboolean mirror_fresh);
+void hzb_election_step_down (HzbElection *election, const char *why);
+
+HzbElectionState hzb_election_state (HzbElection *election);
+gboolean hzb_election_leading (HzbElection *election);
+/* Nobody else can have been elected up to this moment. */
+gboolean hzb_election_proven (HzbElection *election);
+guint64 hzb_election_term (HzbElection *election);
+void hzb_election_guard (HzbElection *election, cJSON *txn); /* the transaction fails once a newer term exists */
+gboolean hzb_election_leader_seen (HzbElection *election); /* the mirror shows our own term: it has all before it */
+const char *hzb_election_leader (HzbElection *election);     /* NULL: none known */
+guint64 hzb_election_leader_term (HzbElection *election);
--- /dev/null
+++ b/src/gateway.c
@@ -0,0 +1,285 @@
+/* The workers' side: reports in, orders out. */
+#include "controller.h"
+
+#include <string.h>
+
+#define SICK_AFTER 3u
+
+static void
+order (GArray *orders, HzbOrderKind kind, const char *uid, guint task, guint64 attempt, double grace_s)
+{
+  HzbOrder o = { kind, uid, task, attempt, grace_s };
+  g_array_append_val (orders, o);
+}
+
+static void
+task_failed (HzbController *c, HzbMachine *m, HzbTask *task, HzbWhy why, struct timespec now)
+{
+  HzbJob *job = task->job;
+
+  if (why == HZB_WHY_ERROR)
+    {
+      gboolean same = g_strcmp0 (m->last_failed_job, job->uid) == 0;
+      task->tries = (guint8) MIN (task->tries + 1, 10);
+      m->failures++;
+      if (!same)
+        {
+          m->failed_jobs++;
+          g_free (m->last_failed_job);
+          m->last_failed_job = g_strdup (job->uid);
+        }
+      /* One machine that fails all it starts must not pass for a job that fails everywhere. */
+      if (m->failures >= SICK_AFTER && (m->failed_jobs >= 2 || job->running + job->done + job->finished > 0))
+        {
+          if (!m->wanted_back)
+            g_message ("machine %s fails what it starts and is set aside", m->name);
+          m->wanted_back = TRUE;
+        }
+      else if (job->running + job->done + job->finished == 0)
+        {
+          job->failures++;
+          job->not_before = hzb_time_plus (now, MIN (60, 1 << MIN (job->failures, 6)));
+        }
+      task->not_before = hzb_time_plus (now, MIN (60, 1 << MIN (task->tries, 6)) * 0.5);
+    }
+  else if (why == HZB_WHY_NO_ROOM || why == HZB_WHY_UNKNOWN || why == HZB_WHY_BUSY)
+    {
+      g_message ("task %s/%u was refused by %s (%d)", job->uid, task->index, m->name, why);
+      task->not_before = hzb_time_plus (now, 1);
+    }
+}
+
+static HzbTaskState
+task_state_of (HzbPieceState state)
+{
+  return state == HZB_PIECE_FETCHING  ? HZB_TASK_FETCHING
+         : state == HZB_PIECE_WAITING ? HZB_TASK_WAITING
+         : state == HZB_PIECE_SAVING  ? HZB_TASK_SAVING
+                                      : HZB_TASK_RUNNING;
+}
+
+static void
+take_exited (HzbController *c, HzbMachine *m, HzbTask *task, const HzbPiece *piece, struct timespec now, GArray *orders)
+{
+  HzbJob *job = task->job;
+  gboolean here = hzb_task_on_machine (task) && task->machine == m && task->attempt == piece->attempt;
+
+  if (piece->why == HZB_WHY_DONE)
+    {
+      if (task->state == HZB_TASK_DONE)
+        order (orders, HZB_ORDER_FORGET, job->uid, task->index, piece->attempt, 0);
+      else if (here || task->state == HZB_TASK_UNKNOWN || task->state == HZB_TASK_PENDING || task->state == HZB_TASK_LISTED)
+        {
+          if (task->state == HZB_TASK_LISTED)
+            hzb_task_set_state (c->jobs, task, HZB_TASK_PENDING, NULL);
+          hzb_task_set_state (c->jobs, task, HZB_TASK_FINISHED, NULL);
+          job->dirty = TRUE;
+          job->failures = 0;
+          m->failures = m->failed_jobs = 0;
+          g_clear_pointer (&m->last_failed_job, g_free);
+          if (job->finished + job->done == job->n_tasks)
+            hzb_controller_end_job (c, job);
+          else
+            hzb_controller_flush_soon (c);
+        }
+      /* Otherwise it is kept there until it is durable, or until the other attempt is over. */
+      return;
+    }
+  if (here)
+    {
+      hzb_task_set_state (c->jobs, task, HZB_TASK_PENDING, NULL);
+      task_failed (c, m, task, piece->why, now);
+    }
+  order (orders, HZB_ORDER_FORGET, job->uid, task->index, piece->attempt, 0);
+}
+
+static void
+take_piece (HzbController *c, HzbMachine *m, const HzbPiece *piece, struct timespec now, GArray *orders)
+{
+  HzbJob *job = hzb_jobs_find (c->jobs, piece->uid);
+  HzbTask *task = job && job->tasks && piece->task < job->n_tasks ? &job->tasks[piece->task] : NULL;
+  HzbTaskState state = task_state_of (piece->state);
+  gboolean over = job && job->state != HZB_JOB_ACCEPTED;
+
+  if (!job || (!task && !over))
+    {
+      /* The mirror may be a moment behind; only after a while it is nobody's. */
+      if (hzb_time_between (c->hold_since, now) > 15)
+        order (orders, piece->state == HZB_PIECE_EXITED ? HZB_ORDER_FORGET : HZB_ORDER_STOP, piece->uid, piece->task,
+               piece->attempt, 0);
+      return;
+    }
+  if (task && hzb_task_on_machine (task) && task->machine == m && task->attempt == piece->attempt)
+    task->seen = m->round;
+  if (piece->state == HZB_PIECE_EXITED)
+    {
+      if (task && !over)
+        take_exited (c, m, task, piece, now, orders);
+      else
+        {
+          if (task && hzb_task_on_machine (task) && task->machine == m && task->attempt == piece->attempt)
+            hzb_task_set_state (c->jobs, task, HZB_TASK_PENDING, NULL);
+          order (orders, HZB_ORDER_FORGET, job->uid, piece->task, piece->attempt, 0);
+        }
+      return;
+    }
+  if (task && (task->state == HZB_TASK_UNKNOWN || task->state == HZB_TASK_PENDING || task->state == HZB_TASK_LISTED))
+    {
+      /* Found where an earlier holder had started it. */
+      if (task->state == HZB_TASK_LISTED)
+        hzb_task_set_state (c->jobs, task, HZB_TASK_PENDING, NULL);
+      task->attempt = piece->attempt;
+      job->next_attempt = MAX (job->next_attempt, piece->attempt);
+      hzb_task_set_state (c->jobs, task, state, m);
+      task->seen = m->round;
+    }
+  else if (task && hzb_task_on_machine (task) && task->machine == m)
+    {
+      if (task->attempt != piece->attempt && task->seen != m->round)
+        task->attempt = piece->attempt; /* ours was refused: this one is still here */
+      task->seen = m->round;
+      if (task->attempt == piece->attempt)
+        hzb_task_set_state (c->jobs, task, state, m);
+    }
+  else if (task)
+    {
+      g_critical ("task %s/%u is on %s although it is %s%s%s", job->uid, piece->task, m->name,
+                  hzb_task_state_name (task->state), task->machine ? " on " : "", task->machine ? task->machine->name : "");
+      order (orders, HZB_ORDER_STOP, job->uid, piece->task, piece->attempt, 0);
+      return;
+    }
+  if (job->spec && piece->state != HZB_PIECE_FETCHING && !g_hash_table_contains (m->images, job->spec->image))
+    g_hash_table_add (m->images, g_strdup (job->spec->image));
+  if (piece->state == HZB_PIECE_RUNNING && task)
+    {
+      m->failures = m->failures > 0 && hzb_time_between (task->since, now) > 5 ? 0 : m->failures;
+      job->failures = hzb_time_between (task->since, now) > 5 ? 0 : job->failures;
+    }
+  if (over)
+    order (orders, HZB_ORDER_STOP, job->uid, piece->task, piece->attempt, 0);
+  else if (task && task->stopping && state != HZB_TASK_SAVING)
+    order (orders, HZB_ORDER_STOP, job->uid, piece->task, piece->attempt,
+           job->spec->checkpoint_s > 0 ? job->spec->save_s + 1 : 0);
+}
+
+/* The cloud takes the machine soon: nothing new goes there, and what can save does so in time. */
+static void
+take_notice (HzbController *c, HzbMachine *m, double notice_s, struct timespec now, GArray *orders)
+{
+  if (m->state == HZB_MACHINE_ACTIVE)
+    {
+      hzb_machine_set_state (c->machines, m, HZB_MACHINE_DRAINING, "the cloud takes it back");
+      m->notice_at = hzb_time_plus (now, notice_s);
+      hzb_machine_empty_lists (c->jobs, m);
+    }
+  for (guint i = 0; i < m->tasks->len; i++)
+    {
+      HzbTask *task = m->tasks->pdata[i];
+      const HzbSpec *spec = task->job->spec;
+      double left = hzb_job_mean_s (task->job) - hzb_time_between (task->since, now);
+      if (task->stopping || task->state != HZB_TASK_RUNNING || spec->gang)
+        continue;
+      /* What should end by itself before then runs on; a task without checkpoints has nothing to save. */
+      if (spec->checkpoint_s > 0 && left > notice_s - spec->save_s - 1)
+        {
+          task->stopping = TRUE;
+          order (orders, HZB_ORDER_STOP, task->job->uid, task->index, task->attempt, spec->save_s + 1);
+        }
+    }
+}
+
+static void
+take_report (HzbController *c, HzbMachine *m, const HzbReport *report, struct timespec now, GArray *orders)
+{
+  m->round++;
+  if (m->state == HZB_MACHINE_UNHEARD || m->state == HZB_MACHINE_BOOTING || m->state == HZB_MACHINE_SILENT)
+    hzb_machine_set_state (c->machines, m, HZB_MACHINE_ACTIVE, "reports under our token");
+  m->confirmed = TRUE;
+  for (guint i = 0; i < report->pieces->len; i++)
+    take_piece (c, m, &g_array_index (report->pieces, HzbPiece, i), now, orders);
+  /* What a newer report does not show is not there, whether its start was lost or it is forgotten. */
+  for (guint i = 0; i < m->tasks->len;)
+    {
+      HzbTask *task = m->tasks->pdata[i];
+      if (task->state == HZB_TASK_BOOKED || task->seen == m->round)
+        i++;
+      else
+        hzb_task_set_state (c->jobs, task, HZB_TASK_PENDING, NULL);
+    }
+  if (m->tasks->len)
+    m->idle_since = now;
+  if (report->notice_s >= 0)
+    take_notice (c, m, report->notice_s, now, orders);
+  hzb_dispatch_rebook (c->dispatch, m, now);
+}
+
+static void
+redirect (HzbController *c, HzbExchange *exchange)
+{
+  hzb_exchange_reply (exchange, 421, hzb_wire_redirect (hzb_election_leader (c->election)), 0);
+}
+
+void
+hzb_gateway_report (HzbController *c, HzbExchange *exchange)
+{
+  struct timespec now = hzb_clock_now (c->clock);
+  guint64 term = hzb_election_term (c->election);
+  g_autoptr (GError) error = NULL;
+  g_autoptr (HzbReport) report = NULL;
+  g_autoptr (GArray) orders = g_array_new (FALSE, FALSE, sizeof (HzbOrder));
+  HzbMachine *m;
+
+  if (!hzb_election_leading (c->election))
+    {
+      redirect (c, exchange);
+      return;
+    }
+  report = hzb_wire_parse_report (exchange->body, exchange->length, &error);
+  if (!report)
+    {
+      hzb_exchange_reply (exchange, 400, hzb_wire_error (error->message), 0);
+      return;
+    }
+  if (report->token > term)
+    {
+      hzb_election_step_down (c->election, "a worker has seen a newer token");
+      hzb_exchange_reply (exchange, 503, hzb_wire_error ("superseded"), 0);
+      return;
+    }
+  if (c->hold < HZB_HOLD_RECOVERING)
+    {
+      /* Its lease should live while the records are read. */
+      hzb_exchange_reply (exchange, 200, hzb_wire_orders (term, NULL), 0);
+      return;
+    }
+  m = hzb_machines_find (c->machines, report->host);
+  if (!m && g_hash_table_contains (c->gone, report->host))
+    {
+      hzb_exchange_reply (exchange, 503, hzb_wire_error ("this machine was returned"), 0);
+      return;
+    }
+  if (!m)
+    m = hzb_machines_add (c->machines, report->host, report->addr, report->type, report->zone, report->spot,
+                          HZB_MACHINE_BOOTING);
+  /* Guards against reports that a cut held back: what they say is as old as they are. */
+  if (report->session < m->session || (report->session == m->session && report->seq <= m->seq))
+    {
+      hzb_exchange_reply (exchange, 503, hzb_wire_error ("an older report"), 0);
+      return;
+    }
+  if (report->session > m->session && m->session && m->confirmed)
+    hzb_machine_lose_tasks (c->jobs, m); /* its lease ended, and with it all its tasks */
+  m->session = report->session;
+  m->seq = report->seq;
+  m->heard = m->answered = now;
+  if (!m->recorded)
+    hzb_controller_flush_soon (c);
+  if (report->token == term)
+    {
+      take_report (c, m, report, now, orders);
+      /* Starts only while nobody else can have been elected; see docs/safety.md. */
+      if (hzb_election_proven (c->election))
+        hzb_dispatch_fill (c->dispatch, m, now, orders);
+    }
+  hzb_exchange_reply (exchange, 200, hzb_wire_orders (term, orders), 0);
+}
--- /dev/null
+++ b/src/http.h
@@ -0,0 +1,41 @@
+/* HTTP both ways, behind two small faces so that tests can put stand-ins in their place. */
+#pragma once
+#include <glib.h>
+
+/* status 0: no answer, the request may or may not have been carried out */
+typedef void (*HzbReplyFunc) (guint status, const char *body, gsize length, gpointer user);
+
+typedef struct _HzbTransport HzbTransport;
+struct _HzbTransport
+{
+  void (*send) (HzbTransport *self, const char *method, const char *addr, const char *path, char *body,
+                guint timeout_ms, HzbReplyFunc done, gpointer user); /* takes body */
+};
+
+static inline void
+hzb_send (HzbTransport *transport, const char *method, const char *addr, const char *path, char *body,
+          guint timeout_ms, HzbReplyFunc done, gpointer user)
+{
+  transport->send (transport, method, addr, path, body, timeout_ms, done, user);
+}
+
+HzbTransport *hzb_http_client_new (void);
+
+/* One request that waits for its answer. hzb_exchange_reply() must be called once; it ends the exchange. */
+typedef struct _HzbExchange HzbExchange;
+struct _HzbExchange
+{
+  char *method, *path;
+  char *body;
+  gsize length;
+  void (*reply) (HzbExchange *self, guint status, const char *body, guint retry_after_s);
+  gpointer impl;
+};
+
+void hzb_exchange_reply (HzbExchange *exchange, guint status, char *body, guint retry_after_s); /* takes body */
+
+typedef void (*HzbHandler) (HzbExchange *exchange, gpointer user);
+
+typedef struct _HzbHttpServer HzbHttpServer;
+HzbHttpServer *hzb_http_server_new (const char *addr, HzbHandler handler, gpointer user, GError **error);
+void hzb_http_server_free (HzbHttpServer *server);
--- /dev/null
+++ b/src/jobs.c
@@ -0,0 +1,416 @@
+#include "jobs.h"
+
+#include "machines.h"
+
+#include <string.h>
+
+static const char *const state_names[] = { "pending", "listed",  "unknown", "booked",   "starting", "fetching",
+                                           "waiting", "running", "saving",  "finished", "done" };
+
+static void
+drop_holding (HzbJob *job)
+{
+  g_clear_pointer (&job->tasks, g_free);
+  g_queue_clear (&job->retry);
+  job->cursor = job->pending = job->listed = job->unknown = job->placed = job->running = 0;
+  job->finished = job->done = job->released = job->releasing = 0;
+  job->dirty = job->ending = job->has_progress = FALSE;
+  job->failures = 0;
+}
+
+static void
+job_free (gpointer data)
+{
+  HzbJob *job = data;
+  drop_holding (job);
+  hzb_spec_free (job->spec);
+  g_free (job->uid);
+  g_free (job);
+}
+
+HzbJobs *
+hzb_jobs_new (HzbClock *clock, const HzbSettings *settings)
+{
+  HzbJobs *jobs = g_new0 (HzbJobs, 1);
+  jobs->by_uid = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, job_free);
+  jobs->active = g_ptr_array_new ();
+  jobs->clock = clock;
+  jobs->settings = settings;
+  return jobs;
+}
+
+void
+hzb_jobs_free (HzbJobs *jobs)
+{
+  g_ptr_array_unref (jobs->active);
+  g_hash_table_unref (jobs->by_uid);
+  g_free (jobs);
+}
+
+HzbJob *
+hzb_jobs_find (HzbJobs *jobs, const char *uid)
+{
+  return g_hash_table_lookup (jobs->by_uid, uid);
+}
+
+const char *
+hzb_job_status (const HzbJob *job)
+{
+  return job->state == HZB_JOB_DONE        ? "done"
+         : job->state == HZB_JOB_CANCELLED ? "cancelled"
+         : job->running > 0                ? "running"
+                                           : "queued";
+}
+
+cJSON *
+hzb_jobs_pack_accepted (const HzbSpec *spec, struct timespec wall)
+{
+  cJSON *value = cJSON_CreateObject ();
+  cJSON_AddStringToObject (value, "state", "accepted");
+  cJSON_AddNumberToObject (value, "at", (double) wall.tv_sec + (double) (wall.tv_nsec / 1000000) / 1e3);
+  cJSON_AddItemToObject (value, "spec", hzb_wire_pack_spec (spec));
+  return value;
+}
+
+cJSON *
+hzb_jobs_pack_final (HzbJobState state, guint n_tasks)
+{
+  cJSON *value = cJSON_CreateObject ();
+  cJSON_AddStringToObject (value, "state", state == HZB_JOB_DONE ? "done" : "cancelled");
+  cJSON_AddNumberToObject (value, "n", n_tasks);
+  return value;
+}
+
+HzbJob *
+hzb_jobs_apply (HzbJobs *jobs, const char *uid, const cJSON *value, guint64 version)
+{
+  HzbJob *job = hzb_jobs_find (jobs, uid);
+  const char *state = hzb_json_text (value, "state");
+  gboolean accepted = g_strcmp0 (state, "accepted") == 0;
+  g_autoptr (HzbSpec) spec = NULL;
+
+  if (job && job->version >= version)
+    return job;
+  if (accepted)
+    {
+      spec = hzb_wire_unpack_spec (uid, cJSON_GetObjectItemCaseSensitive (value, "spec"));
+      if (!spec)
+        {
+          g_critical ("job %s: its record can't be read", uid);
+          return NULL;
+        }
+    }
+  else if (g_strcmp0 (state, "done") != 0 && g_strcmp0 (state, "cancelled") != 0)
+    {
+      g_critical ("job %s: its record can't be read", uid);
+      return NULL;
+    }
+  if (!job)
+    {
+      job = g_new0 (HzbJob, 1);
+      job->uid = g_strdup (uid);
+      job->slowdown = 1;
+      job->team = -1;
+      g_hash_table_insert (jobs->by_uid, job->uid, job);
+    }
+  job->version = version;
+  if (accepted)
+    {
+      double at = hzb_json_number (value, "at", 0);
+      job->state = HZB_JOB_ACCEPTED;
+      job->accepted = hzb_time_plus ((struct timespec){ 0 }, at);
+      if (!job->spec)
+        job->spec = g_steal_pointer (&spec);
+      job->n_tasks = job->spec->tasks;
+      job->team = hzb_settings_team (jobs->settings, job->spec->team);
+      if (jobs->block)
+        hzb_jobs_activate (jobs, job);
+      return job;
+    }
+  if (job->state == HZB_JOB_ACCEPTED && job->version)
+    g_debug ("job %s is %s", uid, state);
+  job->state = g_str_equal (state, "done") ? HZB_JOB_DONE : HZB_JOB_CANCELLED;
+  job->n_tasks = (guint) hzb_json_number (value, "n", job->n_tasks);
+  if (!job->tasks)
+    g_clear_pointer (&job->spec, hzb_spec_free);
+  return job;
+}
+
+/* ---- holding ---- */
+
+void
+hzb_jobs_hold (HzbJobs *jobs, HzbBlock *block)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  jobs->block = block;
+  g_hash_table_iter_init (&iter, jobs->by_uid);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((HzbJob *) value)->state == HZB_JOB_ACCEPTED)
+      hzb_jobs_activate (jobs, value);
+}
+
+void
+hzb_jobs_let_go (HzbJobs *jobs)
+{
+  for (guint i = 0; i < jobs->active->len; i++)
+    {
+      HzbJob *job = jobs->active->pdata[i];
+      drop_holding (job);
+      if (job->state != HZB_JOB_ACCEPTED)
+        g_clear_pointer (&job->spec, hzb_spec_free);
+    }
+  g_ptr_array_set_size (jobs->active, 0);
+  jobs->block = NULL;
+}
+
+static gint
+by_age (gconstpointer a, gconstpointer b)
+{
+  const HzbJob *x = *(HzbJob *const *) a, *y = *(HzbJob *const *) b;
+  if (hzb_time_before (x->accepted, y->accepted))
+    return -1;
+  if (hzb_time_before (y->accepted, x->accepted))
+    return 1;
+  return strcmp (x->uid, y->uid);
+}
+
+void
+hzb_jobs_activate (HzbJobs *jobs, HzbJob *job)
+{
+  struct timespec now = hzb_clock_now (jobs->clock);
+
+  if (job->tasks || !job->spec || job->team < 0)
+    return;
+  job->tasks = g_new0 (HzbTask, job->n_tasks);
+  for (guint i = 0; i < job->n_tasks; i++)
+    {
+      job->tasks[i].job = job;
+      job->tasks[i].index = i;
+      job->tasks[i].since = now;
+    }
+  job->pending = job->n_tasks;
+  job->next_attempt = jobs->block->term << 20;
+  job->since = now;
+  g_ptr_array_add (jobs->active, job);
+  g_ptr_array_sort (jobs->active, by_age);
+}
+
+void
+hzb_jobs_retire (HzbJobs *jobs, HzbJob *job)
+{
+  g_ptr_array_remove (jobs->active, job);
+  drop_holding (job);
+  if (job->state != HZB_JOB_ACCEPTED)
+    g_clear_pointer (&job->spec, hzb_spec_free);
+}
+
+guint
+hzb_job_chunks (const HzbJob *job)
+{
+  return (job->n_tasks + HZB_CHUNK - 1) / HZB_CHUNK;
+}
+
+cJSON *
+hzb_job_pack_progress (const HzbJob *job, guint chunk)
+{
+  cJSON *value = cJSON_CreateObject ();
+  guint first = chunk * HZB_CHUNK, n = MIN (HZB_CHUNK, job->n_tasks - first), done = 0;
+  g_autofree guchar *bits = g_new0 (guchar, (n + 7) / 8);
+  guint top = 0;
+
+  for (guint i = 0; i < n; i++)
+    if (job->tasks[first + i].state >= HZB_TASK_FINISHED)
+      {
+        bits[i / 8] |= (guchar) (1u << (i % 8));
+        top = i / 8 + 1;
+        done++;
+      }
+  cJSON_AddNumberToObject (value, "released", job->releasing);
+  if (job->state == HZB_JOB_CANCELLED || chunk == 0)
+    {
+      /* Kept beside the bits: a cancelled job's own record no longer says what its tasks took. */
+      cJSON_AddStringToObject (value, "team", job->spec->team);
+      cJSON_AddNumberToObject (value, "cpus", job->spec->cpus);
+      cJSON_AddNumberToObject (value, "gpus", job->spec->gpus);
+    }
+  if (done)
+    {
+      g_autofree char *text = g_base64_encode (bits, top);
+      cJSON_AddStringToObject (value, "done", text);
+    }
+  return value;
+}
+
+void
+hzb_job_read_progress (HzbJobs *jobs, HzbJob *job, guint chunk, const cJSON *value)
+{
+  guint first = chunk * HZB_CHUNK;
+  const char *text = hzb_json_text (value, "done");
+  gsize length = 0;
+  g_autofree guchar *bits = text && *text ? g_base64_decode (text, &length) : NULL;
+  guint released = MIN ((guint) hzb_json_number (value, "released", 0), job->n_tasks);
+
+  job->has_progress = TRUE;
+  for (guint i = first; i < MIN (first + HZB_CHUNK, job->n_tasks); i++)
+    {
+      guint k = i - first;
+      HzbTask *task = &job->tasks[i];
+      if (k / 8 < length && bits[k / 8] & (1u << (k % 8)))
+        {
+          if (task->state == HZB_TASK_PENDING || task->state == HZB_TASK_UNKNOWN)
+            hzb_task_set_state (jobs, task, HZB_TASK_DONE, NULL);
+        }
+      else if (i < released && task->state == HZB_TASK_PENDING)
+        hzb_task_set_state (jobs, task, HZB_TASK_UNKNOWN, NULL);
+    }
+  job->released = job->releasing = MAX (job->released, released);
+  job->cursor = MAX (job->cursor, job->released);
+}
+
+gboolean
+hzb_jobs_any_unknown (HzbJobs *jobs)
+{
+  for (guint i = 0; i < jobs->active->len; i++)
+    if (((HzbJob *) jobs->active->pdata[i])->unknown)
+      return TRUE;
+  return FALSE;
+}
+
+void
+hzb_jobs_resolve_unknown (HzbJobs *jobs)
+{
+  for (guint i = 0; i < jobs->active->len; i++)
+    {
+      HzbJob *job = jobs->active->pdata[i];
+      for (guint k = 0; job->unknown && k < job->n_tasks; k++)
+        if (job->tasks[k].state == HZB_TASK_UNKNOWN)
+          hzb_task_set_state (jobs, &job->tasks[k], HZB_TASK_PENDING, NULL);
+    }
+}
+
+/* ---- tasks ---- */
+
+const char *
+hzb_task_state_name (HzbTaskState state)
+{
+  return state_names[state];
+}
+
+gboolean
+hzb_task_on_machine (const HzbTask *task)
+{
+  return task->state >= HZB_TASK_BOOKED && task->state <= HZB_TASK_SAVING;
+}
+
+#define B(s) (1u << HZB_TASK_##s)
+#define SEEN (B (FETCHING) | B (WAITING) | B (RUNNING) | B (SAVING))
+
+static const guint legal[HZB_TASK_N_STATES] = {
+  [HZB_TASK_PENDING] = B (LISTED) | B (BOOKED) | B (UNKNOWN) | B (DONE) | SEEN | B (FINISHED),
+  [HZB_TASK_LISTED] = B (PENDING) | B (BOOKED) | B (STARTING),
+  [HZB_TASK_UNKNOWN] = B (PENDING) | SEEN | B (FINISHED) | B (DONE),
+  [HZB_TASK_BOOKED] = B (PENDING) | B (STARTING),
+  [HZB_TASK_STARTING] = B (PENDING) | SEEN | B (FINISHED),
+  [HZB_TASK_FETCHING] = B (PENDING) | SEEN | B (FINISHED),
+  [HZB_TASK_WAITING] = B (PENDING) | SEEN | B (FINISHED),
+  [HZB_TASK_RUNNING] = B (PENDING) | SEEN | B (FINISHED),
+  [HZB_TASK_SAVING] = B (PENDING) | SEEN | B (FINISHED),
+  [HZB_TASK_FINISHED] = B (DONE),
+  [HZB_TASK_DONE] = 0,
+};
+
+static void
+count (HzbJob *job, HzbTaskState state, int sign)
+{
+  guint by = (guint) sign;
+  switch (state)
+    {
+    case HZB_TASK_PENDING:
+      job->pending += by;
+      break;
+    case HZB_TASK_LISTED:
+      job->listed += by;
+      break;
+    case HZB_TASK_UNKNOWN:
+      job->unknown += by;
+      break;
+    case HZB_TASK_FINISHED:
+      job->finished += by;
+      break;
+    case HZB_TASK_DONE:
+      job->done += by;
+      break;
+    default:
+      job->placed += by;
+      if (state == HZB_TASK_RUNNING || state == HZB_TASK_SAVING)
+        job->running += by;
+      break;
+    }
+}
+
+/* The only place where a task changes its state, its machine, and what its team has in use. */
+gboolean
+hzb_task_set_state (HzbJobs *jobs, HzbTask *task, HzbTaskState to, HzbMachine *machine)
+{
+  HzbJob *job = task->job;
+  const HzbSpec *spec = job->spec;
+  gboolean held = hzb_task_on_machine (task) || task->state == HZB_TASK_UNKNOWN, holds;
+
+  if (task->state == to && task->machine == machine)
+    return TRUE;
+  if (!(legal[task->state] & 1u << to))
+    {
+      g_critical ("task %s/%u: illegal change %s -> %s", job->uid, task->index, state_names[task->state], state_names[to]);
+      return FALSE;
+    }
+  g_debug ("task %s/%u: %s -> %s%s%s", job->uid, task->index, state_names[task->state], state_names[to],
+           machine ? " on " : "", machine ? hzb_machine_name (machine) : "");
+  if (task->state == HZB_TASK_LISTED)
+    hzb_machine_unlist (task->machine, task);
+  if (hzb_task_on_machine (task) && task->machine)
+    hzb_machine_remove (task->machine, task);
+  count (job, task->state, -1);
+  count (job, to, 1);
+  if (task->state != to)
+    task->since = hzb_clock_now (jobs->clock);
+  task->state = (guint8) to;
+  task->machine = machine;
+  holds = hzb_task_on_machine (task) || to == HZB_TASK_UNKNOWN;
+  if (to == HZB_TASK_LISTED)
+    hzb_machine_list (machine, task);
+  if (hzb_task_on_machine (task) && machine)
+    hzb_machine_add (machine, task);
+  if (holds && !held)
+    hzb_block_hold (jobs->block, job->team, spec->cpus, spec->gpus);
+  else if (held && !holds)
+    hzb_block_release (jobs->block, job->team, spec->cpus, spec->gpus);
+  if (to == HZB_TASK_PENDING)
+    {
+      task->stopping = FALSE;
+      g_queue_push_tail (&job->retry, task);
+    }
+  return TRUE;
+}
+
+HzbTask *
+hzb_job_next_pending (HzbJob *job, struct timespec now)
+{
+  for (guint n = job->retry.length; n > 0; n--)
+    {
+      HzbTask *task = g_queue_pop_head (&job->retry);
+      if (task->state != HZB_TASK_PENDING)
+        continue; /* placed meanwhile by other means */
+      if (hzb_time_before (now, task->not_before))
+        {
+          g_queue_push_tail (&job->retry, task);
+          continue;
+        }
+      return task;
+    }
+  for (; job->cursor < job->released; job->cursor++)
+    if (job->tasks[job->cursor].state == HZB_TASK_PENDING)
+      return &job->tasks[job->cursor++];
+  return NULL;
+}
--- /dev/null
+++ b/src/jobs.h
@@ -0,0 +1,111 @@
+/* Jobs and tasks. Every node keeps the durable state of jobs, from the mirror; the holder also keeps
+ * where each task is. */
+#pragma once
+#include "block.h"
+#include "clock.h"
+#include "wire.h"
+
+#define HZB_KEY_JOBS "hzb/a/jobs/main/" /* room for tenants: main is the only one so far */
+#define HZB_KEY_PROGRESS "hzb/x/progress/main/"
+#define HZB_CHUNK 32768u
+#define HZB_RELEASE_STEP 4096u
+
+typedef struct _HzbMachine HzbMachine;
+typedef struct _HzbJob HzbJob;
+
+typedef enum
+{
+  HZB_JOB_ACCEPTED,
+  HZB_JOB_CANCELLED,
+  HZB_JOB_DONE
+} HzbJobState;
+
+typedef enum
+{
+  HZB_TASK_PENDING,  /* on no machine, in no list */
+  HZB_TASK_LISTED,   /* in a machine's list */
+  HZB_TASK_UNKNOWN,  /* may run on a machine that has not answered under our token */
+  HZB_TASK_BOOKED,   /* a place is held for it; the start order has not been sent */
+  HZB_TASK_STARTING, /* a start order was sent; no newer report yet */
+  HZB_TASK_FETCHING,
+  HZB_TASK_WAITING,
+  HZB_TASK_RUNNING,
+  HZB_TASK_SAVING,
+  HZB_TASK_FINISHED, /* its result is known, not yet durable */
+  HZB_TASK_DONE,     /* durable */
+  HZB_TASK_N_STATES
+} HzbTaskState;
+
+typedef struct
+{
+  HzbJob *job;
+  HzbMachine *machine;
+  guint index;
+  guint8 state; /* HzbTaskState, changed by hzb_task_set_state() only */
+  guint8 tries;
+  gboolean stopping : 1;
+  guint seen; /* the machine's last round of reports that named it */
+  guint64 attempt;
+  struct timespec since;      /* in this state */
+  struct timespec not_before; /* after a failure */
+} HzbTask;
+
+struct _HzbJob
+{
+  char *uid;
+  HzbJobState state;
+  guint64 version;
+  guint n_tasks;
+  struct timespec accepted; /* time of day */
+  HzbSpec *spec;            /* NULL once over, unless tasks may still be about */
+  int team;
+
+  /* the holder's part */
+  HzbTask *tasks;
+  guint cursor;  /* tasks from here on have never been placed */
+  GQueue retry;  /* HzbTask, pending again */
+  guint pending; /* state PENDING, below the released mark or not */
+  guint listed, unknown, placed, running, finished, done;
+  guint released, releasing; /* tasks below may have been started: durable, and asked for */
+  gboolean dirty, ending;    /* progress to be written; end being written */
+  gboolean has_progress;     /* a progress record may exist */
+  gboolean guaranteed;
+  guint64 next_attempt;
+  guint failures; /* in a row, without a task of the job doing well */
+  struct timespec not_before, since;
+  double slowdown;
+};
+
+typedef struct
+{
+  GHashTable *by_uid; /* uid -> HzbJob */
+  GPtrArray *active;  /* the holder's: jobs with a part of it, by age */
+  HzbClock *clock;
+  const HzbSettings *settings;
+  HzbBlock *block; /* NULL: not a holder */
+} HzbJobs;
+
+HzbJobs *hzb_jobs_new (HzbClock *clock, const HzbSettings *settings);
+void hzb_jobs_free (HzbJobs *jobs);
+HzbJob *hzb_jobs_find (HzbJobs *jobs, const char *uid);
+/* A record as the state service has it; NULL if it makes no sense. Older versions change nothing. */
+HzbJob *hzb_jobs_apply (HzbJobs *jobs, const char *uid, const cJSON *value, guint64 version);
+cJSON *hzb_jobs_pack_accepted (const HzbSpec *spec, struct timespec wall);
+cJSON *hzb_jobs_pack_final (HzbJobState state, guint n_tasks);
+const char *hzb_job_status (const HzbJob *job);
+
+/* Holding. */
+void hzb_jobs_hold (HzbJobs *jobs, HzbBlock *block);
+void hzb_jobs_let_go (HzbJobs *jobs);
+void hzb_jobs_activate (HzbJobs *jobs, HzbJob *job);
+void hzb_jobs_retire (HzbJobs *jobs, HzbJob *job); /* nothing of it is anywhere any more */
+void hzb_job_read_progress (HzbJobs *jobs, HzbJob *job, guint chunk, const cJSON *value);
+cJSON *hzb_job_pack_progress (const HzbJob *job, guint chunk);
+guint hzb_job_chunks (const HzbJob *job);
+void hzb_jobs_resolve_unknown (HzbJobs *jobs); /* every machine has answered or is gone */
+gboolean hzb_jobs_any_unknown (HzbJobs *jobs);
+
+gboolean hzb_task_set_state (HzbJobs *jobs, HzbTask *task, HzbTaskState to, HzbMachine *machine);
+gboolean hzb_task_on_machine (const HzbTask *task); /* holds a machine's room */
+const char *hzb_task_state_name (HzbTaskState state);
+HzbTask *hzb_job_next_pending (HzbJob *job, struct timespec now); /* takes it off; NULL: none may start */
--- /dev/null
+++ b/src/machines.c
@@ -0,0 +1,296 @@
+#include "machines.h"
+
+#include <math.h>
+#include <string.h>
+
+static const char *const state_names[] = { "booting", "unheard", "active", "silent", "draining", "returning", "gone" };
+
+static void
+machine_free (gpointer data)
+{
+  HzbMachine *m = data;
+  g_free (m->name);
+  g_free (m->addr);
+  g_free (m->type_name);
+  g_free (m->zone);
+  g_free (m->last_failed_job);
+  g_ptr_array_unref (m->tasks);
+  g_hash_table_unref (m->images);
+  for (guint i = 0; i < HZB_N_CLASSES; i++)
+    {
+      g_queue_clear (&m->lists[i]);
+      hzb_estimate_clear (&m->estimates[i]);
+    }
+  g_free (m);
+}
+
+HzbMachines *
+hzb_machines_new (HzbClock *clock, const HzbSettings *settings)
+{
+  HzbMachines *machines = g_new0 (HzbMachines, 1);
+  machines->by_name = g_hash_table_new (g_str_hash, g_str_equal);
+  machines->all = g_ptr_array_new_with_free_func (machine_free);
+  machines->clock = clock;
+  machines->settings = settings;
+  return machines;
+}
+
+void
+hzb_machines_free (HzbMachines *machines)
+{
+  g_hash_table_unref (machines->by_name);
+  g_ptr_array_unref (machines->all);
+  g_clear_pointer (&machines->types, g_ptr_array_unref);
+  g_free (machines);
+}
+
+void
+hzb_machines_clear (HzbMachines *machines)
+{
+  g_hash_table_remove_all (machines->by_name);
+  g_ptr_array_set_size (machines->all, 0);
+}
+
+void
+hzb_machines_set_types (HzbMachines *machines, GPtrArray *types)
+{
+  GPtrArray *old = machines->types;
+  machines->types = types;
+  for (guint i = 0; i < machines->all->len; i++)
+    {
+      HzbMachine *m = machines->all->pdata[i];
+      m->type = hzb_machines_type (machines, m->type_name);
+    }
+  g_clear_pointer (&old, g_ptr_array_unref);
+}
+
+const HzbMachineType *
+hzb_machines_type (HzbMachines *machines, const char *name)
+{
+  for (guint i = 0; machines->types && i < machines->types->len; i++)
+    if (g_strcmp0 (((HzbMachineType *) machines->types->pdata[i])->name, name) == 0)
+      return machines->types->pdata[i];
+  return NULL;
+}
+
+HzbMachine *
+hzb_machines_find (HzbMachines *machines, const char *name)
+{
+  return g_hash_table_lookup (machines->by_name, name);
+}
+
+HzbMachine *
+hzb_machines_add (HzbMachines *machines, const char *name, const char *addr, const char *type, const char *zone,
+                  gboolean spot, HzbMachineState state)
+{
+  HzbMachine *m = g_new0 (HzbMachine, 1);
+  struct timespec now = hzb_clock_now (machines->clock);
+  m->name = g_strdup (name);
+  m->addr = g_strdup (addr);
+  m->type_name = g_strdup (type);
+  m->zone = g_strdup (zone);
+  m->spot = spot;
+  m->type = hzb_machines_type (machines, type);
+  m->state = state;
+  m->since = m->rented = m->idle_since = now;
+  m->tasks = g_ptr_array_new ();
+  m->images = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  m->stale_estimate = TRUE;
+  g_hash_table_insert (machines->by_name, m->name, m);
+  g_ptr_array_add (machines->all, m);
+  return m;
+}
+
+void
+hzb_machines_remove (HzbMachines *machines, HzbMachine *machine)
+{
+  g_return_if_fail (machine->state == HZB_MACHINE_GONE && machine->tasks->len == 0);
+  g_hash_table_remove (machines->by_name, machine->name);
+  g_ptr_array_remove (machines->all, machine);
+}
+
+#define B(s) (1u << HZB_MACHINE_##s)
+
+/* The only place where a machine changes its state. */
+gboolean
+hzb_machine_set_state (HzbMachines *machines, HzbMachine *machine, HzbMachineState to, const char *why)
+{
+  static const guint legal[HZB_MACHINE_N_STATES] = {
+    [HZB_MACHINE_BOOTING] = B (ACTIVE) | B (RETURNING) | B (DRAINING) | B (UNHEARD),
+    [HZB_MACHINE_UNHEARD] = B (ACTIVE) | B (RETURNING),
+    [HZB_MACHINE_ACTIVE] = B (SILENT) | B (DRAINING) | B (RETURNING),
+    [HZB_MACHINE_SILENT] = B (ACTIVE) | B (RETURNING),
+    [HZB_MACHINE_DRAINING] = B (SILENT) | B (RETURNING) | B (ACTIVE),
+    [HZB_MACHINE_RETURNING] = B (GONE),
+    [HZB_MACHINE_GONE] = 0,
+  };
+  if (machine->state == to)
+    return TRUE;
+  if (!(legal[machine->state] & 1u << to))
+    {
+      g_critical ("machine %s: illegal change %s -> %s (%s)", machine->name, state_names[machine->state],
+                  state_names[to], why);
+      return FALSE;
+    }
+  g_message ("machine %s (%s%s in %s): %s -> %s: %s", machine->name, machine->type_name, machine->spot ? ", spot" : "",
+             machine->zone, state_names[machine->state], state_names[to], why);
+  machine->state = to;
+  machine->since = hzb_clock_now (machines->clock);
+  return TRUE;
+}
+
+const char *
+hzb_machine_state_name (HzbMachineState state)
+{
+  return state_names[state];
+}
+
+const char *
+hzb_machine_name (const HzbMachine *machine)
+{
+  return machine->name;
+}
+
+cJSON *
+hzb_machine_pack (const HzbMachine *m)
+{
+  cJSON *value = cJSON_CreateObject ();
+  cJSON_AddStringToObject (value, "addr", m->addr ? m->addr : "");
+  cJSON_AddStringToObject (value, "type", m->type_name);
+  cJSON_AddStringToObject (value, "zone", m->zone);
+  cJSON_AddBoolToObject (value, "spot", m->spot);
+  return value;
+}
+
+guint
+hzb_job_class (const HzbJob *job)
+{
+  /* What must start soon goes first: high priorities, then what a team is guaranteed, then the rest. */
+  static const guint8 classes[HZB_N_URGENCIES][2] = {
+    [HZB_URGENCY_PRODUCTION] = { 7, 7 },
+    [HZB_URGENCY_HIGH] = { 5, 6 },
+    [HZB_URGENCY_NORMAL] = { 1, 4 },
+    [HZB_URGENCY_IDLE] = { 0, 3 },
+  };
+  return classes[job->spec->urgency][job->guaranteed ? 1 : 0];
+}
+
+void
+hzb_machine_list (HzbMachine *machine, HzbTask *task)
+{
+  g_queue_push_tail (&machine->lists[hzb_job_class (task->job)], task);
+}
+
+void
+hzb_machine_unlist (HzbMachine *machine, HzbTask *task)
+{
+  for (guint i = 0; i < HZB_N_CLASSES; i++)
+    if (g_queue_remove (&machine->lists[i], task))
+      return;
+}
+
+void
+hzb_machine_add (HzbMachine *machine, HzbTask *task)
+{
+  const HzbSpec *spec = task->job->spec;
+  machine->cpus += spec->cpus;
+  machine->gpus += spec->gpus;
+  machine->memory += spec->memory_gb;
+  g_ptr_array_add (machine->tasks, task);
+}
+
+void
+hzb_machine_remove (HzbMachine *machine, HzbTask *task)
+{
+  const HzbSpec *spec = task->job->spec;
+  if (!g_ptr_array_remove_fast (machine->tasks, task))
+    return;
+  machine->cpus -= spec->cpus;
+  machine->gpus -= spec->gpus;
+  machine->memory -= spec->memory_gb;
+}
+
+gboolean
+hzb_machine_usable (const HzbMachine *m)
+{
+  return m->state == HZB_MACHINE_ACTIVE && m->recorded && m->type && !m->wanted_back;
+}
+
+gboolean
+hzb_type_holds (const HzbMachineType *type, const HzbSpec *spec)
+{
+  return type->cpus + 1e-9 >= spec->cpus && type->gpus + 1e-9 >= spec->gpus && type->memory_gb + 1e-9 >= spec->memory_gb
+         && (!spec->types || g_strv_contains ((const char *const *) spec->types, type->name));
+}
+
+guint
+hzb_type_speed (const HzbMachineType *type, const HzbSpec *spec)
+{
+  double v = 1e6;
+  if (!hzb_type_holds (type, spec))
+    return 0;
+  if (spec->cpus > 0)
+    v = MIN (v, floor (type->cpus / spec->cpus + 1e-9));
+  if (spec->gpus > 0)
+    v = MIN (v, floor (type->gpus / spec->gpus + 1e-9));
+  if (spec->memory_gb > 0)
+    v = MIN (v, floor (type->memory_gb / spec->memory_gb + 1e-9));
+  return (guint) v;
+}
+
+gboolean
+hzb_machine_allowed (const HzbMachine *m, const HzbSpec *spec)
+{
+  return m->type && hzb_type_holds (m->type, spec) && (spec->spot || !m->spot)
+         && (!spec->zone || g_str_equal (spec->zone, m->zone));
+}
+
+gboolean
+hzb_machine_has_room (const HzbMachine *m, const HzbSpec *spec)
+{
+  return m->cpus + spec->cpus <= m->type->cpus + 1e-6 && m->gpus + spec->gpus <= m->type->gpus + 1e-6
+         && m->memory + spec->memory_gb <= m->type->memory_gb + 1e-6;
+}
+
+guint
+hzb_machine_listed (const HzbMachine *m)
+{
+  guint n = 0;
+  for (guint i = 0; i < HZB_N_CLASSES; i++)
+    n += m->lists[i].length;
+  return n;
+}
+
+void
+hzb_machine_lose_tasks (HzbJobs *jobs, HzbMachine *m)
+{
+  while (m->tasks->len)
+    {
+      guint before = m->tasks->len;
+      hzb_task_set_state (jobs, m->tasks->pdata[before - 1], HZB_TASK_PENDING, NULL);
+      g_return_if_fail (m->tasks->len < before);
+    }
+  m->cpus = m->gpus = m->memory = 0;
+  hzb_machine_empty_lists (jobs, m);
+}
+
+void
+hzb_machine_empty_lists (HzbJobs *jobs, HzbMachine *m)
+{
+  for (guint i = 0; i < HZB_N_CLASSES; i++)
+    while (m->lists[i].length)
+      hzb_task_set_state (jobs, g_queue_peek_head (&m->lists[i]), HZB_TASK_PENDING, NULL);
+  m->stale_estimate = TRUE;
+}
+
+gboolean
+hzb_machines_all_heard (const HzbMachines *machines)
+{
+  for (guint i = 0; i < machines->all->len; i++)
+    {
+      const HzbMachine *m = machines->all->pdata[i];
+      if (m->state == HZB_MACHINE_UNHEARD || (m->state == HZB_MACHINE_RETURNING && !m->confirmed && m->recorded))
+        return FALSE;
+    }
+  return TRUE;
+}
--- /dev/null
+++ b/src/machines.h
@@ -0,0 +1,87 @@
+/* The machines of a block: what the cloud and the workers say of them, their sessions and leases,
+ * their lists, and the room on them. */
+#pragma once
+#include "estimate.h"
+#include "jobs.h"
+
+#define HZB_KEY_MACHINES "hzb/x/machines/"
+
+typedef enum
+{
+  HZB_MACHINE_BOOTING,   /* rented, its worker has not reported */
+  HZB_MACHINE_UNHEARD,   /* an earlier holder may have started tasks on it; it has not answered under our token */
+  HZB_MACHINE_ACTIVE,    /* its last report was sent under our token */
+  HZB_MACHINE_SILENT,    /* its lease is over: it has no tasks */
+  HZB_MACHINE_DRAINING,  /* takes no more tasks */
+  HZB_MACHINE_RETURNING, /* the cloud has been told; until it confirms the machine may still run */
+  HZB_MACHINE_GONE,
+  HZB_MACHINE_N_STATES
+} HzbMachineState;
+
+/* Classes of waiting work, first served first. See hzb_job_class(). */
+#define HZB_N_CLASSES 8
+
+struct _HzbMachine
+{
+  char *name, *addr;
+  const HzbMachineType *type; /* NULL: not known */
+  char *type_name, *zone;
+  gboolean spot;
+  HzbMachineState state; /* changed by hzb_machine_set_state() only */
+  guint64 session, seq;
+  struct timespec rented, since, answered, heard, idle_since, notice_at;
+  gboolean confirmed; /* a report sent under our token has come */
+  gboolean recorded, recording;
+  gboolean listed_by_cloud, wanted_back;
+  double cpus, gpus, memory; /* in use by tasks that are on it, or may be */
+  GPtrArray *tasks;          /* HzbTask on it */
+  GQueue lists[HZB_N_CLASSES];
+  HzbEstimate estimates[HZB_N_CLASSES]; /* work that a task of the class waits behind */
+  gboolean stale_estimate;
+  GHashTable *images; /* names known to be on it */
+  guint round;                 /* counts reports, see HzbTask.seen */
+  guint failures, failed_jobs; /* in a row */
+  char *last_failed_job;
+};
+
+typedef struct
+{
+  GHashTable *by_name;
+  GPtrArray *all; /* HzbMachine, owned */
+  GPtrArray *types;
+  HzbClock *clock;
+  const HzbSettings *settings;
+} HzbMachines;
+
+HzbMachines *hzb_machines_new (HzbClock *clock, const HzbSettings *settings);
+void hzb_machines_free (HzbMachines *machines);
+void hzb_machines_clear (HzbMachines *machines);
+void hzb_machines_set_types (HzbMachines *machines, GPtrArray *types); /* takes them */
+const HzbMachineType *hzb_machines_type (HzbMachines *machines, const char *name);
+HzbMachine *hzb_machines_find (HzbMachines *machines, const char *name);
+HzbMachine *hzb_machines_add (HzbMachines *machines, const char *name, const char *addr, const char *type,
+                              const char *zone, gboolean spot, HzbMachineState state);
+void hzb_machines_remove (HzbMachines *machines, HzbMachine *machine); /* it must be gone */
+gboolean hzb_machine_set_state (HzbMachines *machines, HzbMachine *machine, HzbMachineState to, const char *why);
+const char *hzb_machine_state_name (HzbMachineState state);
+const char *hzb_machine_name (const HzbMachine *machine);
+cJSON *hzb_machine_pack (const HzbMachine *machine);
+
+/* Kept by hzb_task_set_state(). */
+void hzb_machine_list (HzbMachine *machine, HzbTask *task);
+void hzb_machine_unlist (HzbMachine *machine, HzbTask *task);
+void hzb_machine_add (HzbMachine *machine, HzbTask *task);
+void hzb_machine_remove (HzbMachine *machine, HzbTask *task);
+
+guint hzb_job_class (const HzbJob *job);
+gboolean hzb_machine_usable (const HzbMachine *machine);
+gboolean hzb_type_holds (const HzbMachineType *type, const HzbSpec *spec);
+guint hzb_type_speed (const HzbMachineType *type, const HzbSpec *spec); /* v: how many such tasks it holds */
+gboolean hzb_machine_allowed (const HzbMachine *machine, const HzbSpec *spec);
+gboolean hzb_machine_has_room (const HzbMachine *machine, const HzbSpec *spec);
+guint hzb_machine_listed (const HzbMachine *machine);
+/* Its tasks are gone for certain: they go back to waiting. Its list is emptied too. */
+void hzb_machine_lose_tasks (HzbJobs *jobs, HzbMachine *machine);
+void hzb_machine_empty_lists (HzbJobs *jobs, HzbMachine *machine);
+/* Every machine has answered under our token or is gone. */
+gboolean hzb_machines_all_heard (const HzbMachines *machines);
--- /dev/null
+++ b/src/settings.c
@@ -0,0 +1,255 @@
+#include "settings.h"
+
+#include "toml-bridge.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+GQuark
+hzb_settings_error_quark (void)
+{
+  return g_quark_from_static_string ("hzb-settings-error");
+}
+
+static void
+fault (GString *faults, const char *table, const char *key, const char *expected)
+{
+  g_string_append_printf (faults, "%s%s%s: expected %s\n", table, *table ? "." : "", key, expected);
+}
+
+static char *
+text_at (const cJSON *table, const char *where, const char *key, GString *faults)
+{
+  const cJSON *item = cJSON_GetObjectItemCaseSensitive (table, key);
+  if (cJSON_IsString (item) && *item->valuestring)
+    return g_strdup (item->valuestring);
+  fault (faults, where, key, "a text that is not empty");
+  return NULL;
+}
+
+static char *
+addr_at (const cJSON *table, const char *where, const char *key, GString *faults)
+{
+  const cJSON *item = cJSON_GetObjectItemCaseSensitive (table, key);
+  if (cJSON_IsString (item) && hzb_split_addr (item->valuestring, NULL, NULL))
+    return g_strdup (item->valuestring);
+  fault (faults, where, key, "an address such as \"10.0.0.1:8080\"");
+  return NULL;
+}
+
+static double
+number_at (const cJSON *table, const char *where, const char *key, double least, double fallback,
+           GString *faults)
+{
+  const cJSON *item = cJSON_GetObjectItemCaseSensitive (table, key);
+  char expected[64];
+  if (!item && !isnan (fallback))
+    return fallback;
+  if (cJSON_IsNumber (item) && isfinite (item->valuedouble) && item->valuedouble >= least)
+    return item->valuedouble;
+  g_snprintf (expected, sizeof expected, "a number of at least %g", least);
+  fault (faults, where, key, expected);
+  return 0;
+}
+
+static const cJSON *
+table_at (const cJSON *table, const char *where, const char *key, GString *faults)
+{
+  const cJSON *item = cJSON_GetObjectItemCaseSensitive (table, key);
+  if (cJSON_IsObject (item))
+    return item;
+  fault (faults, where, key, "a table");
+  return NULL;
+}
+
+static void
+peer_free (gpointer data)
+{
+  HzbPeer *peer = data;
+  g_free (peer->node);
+  g_free (peer->zone);
+  g_free (peer->address);
+  g_free (peer);
+}
+
+static void
+team_free (gpointer data)
+{
+  g_free (((HzbTeam *) data)->name);
+  g_free (data);
+}
+
+static void
+objective_free (gpointer data)
+{
+  HzbObjective *objective = data;
+  g_free (objective->kind);
+  g_free (objective->lane);
+  g_free (objective);
+}
+
+static void
+read_cluster (HzbSettings *s, const cJSON *cluster, GString *faults)
+{
+  const cJSON *item, *table;
+
+  s->size = (guint) number_at (cluster, "cluster", "size", 1, NAN, faults);
+  s->skew_ms = number_at (cluster, "cluster", "skew_ms", 0, 0, faults);
+  cJSON_ArrayForEach (item, cJSON_GetObjectItemCaseSensitive (cluster, "zones"))
+    if (cJSON_IsString (item))
+      g_ptr_array_add (s->zones, g_strdup (item->valuestring));
+    else
+      fault (faults, "cluster", "zones", "a list of texts");
+  cJSON_ArrayForEach (item, cJSON_GetObjectItemCaseSensitive (cluster, "teams"))
+    {
+      HzbTeam *team = g_new0 (HzbTeam, 1);
+      team->name = text_at (item, "cluster.teams", "name", faults);
+      team->cpus = number_at (item, "cluster.teams", "cpus", 0, 0, faults);
+      team->gpus = number_at (item, "cluster.teams", "gpus", 0, 0, faults);
+      team->cpus_max = number_at (item, "cluster.teams", "cpus_max", 0, 0, faults);
+      team->gpus_max = number_at (item, "cluster.teams", "gpus_max", 0, 0, faults);
+      g_ptr_array_add (s->teams, team);
+    }
+  if (s->teams->len == 0)
+    fault (faults, "cluster", "teams", "at least one team");
+  cJSON_ArrayForEach (item, cJSON_GetObjectItemCaseSensitive (cluster, "objectives"))
+    {
+      HzbObjective *objective = g_new0 (HzbObjective, 1);
+      const cJSON *lane = cJSON_GetObjectItemCaseSensitive (item, "class");
+      objective->kind = text_at (item, "cluster.objectives", "kind", faults);
+      objective->lane = cJSON_IsString (lane) ? g_strdup (lane->valuestring) : NULL;
+      objective->within_s = number_at (item, "cluster.objectives", "within_s", 0, 0, faults);
+      objective->share = number_at (item, "cluster.objectives", "share", 0, 0, faults);
+      objective->times = number_at (item, "cluster.objectives", "times", 0, 0, faults);
+      g_ptr_array_add (s->objectives, objective);
+    }
+  if ((table = table_at (cluster, "cluster", "workers", faults)))
+    {
+      s->report_s = number_at (table, "cluster.workers", "report_s", 0.1, NAN, faults);
+      s->lease_s = number_at (table, "cluster.workers", "lease_s", 1, NAN, faults);
+      s->gang_wait_s = number_at (table, "cluster.workers", "gang_wait_s", 0, 30, faults);
+      s->gang_peer_s = number_at (table, "cluster.workers", "gang_peer_s", 0, 5, faults);
+      s->cancel_s = number_at (table, "cluster.workers", "cancel_s", 1, NAN, faults);
+    }
+  if ((table = table_at (cluster, "cluster", "state", faults)))
+    {
+      s->store_rps = number_at (table, "cluster.state", "rps", 1, NAN, faults);
+      s->store_write_rps = number_at (table, "cluster.state", "write_rps", 1, NAN, faults);
+      s->store_value_kb = number_at (table, "cluster.state", "value_kb", 1, NAN, faults);
+      s->store_txn_ops = (guint) number_at (table, "cluster.state", "txn_ops", 2, NAN, faults);
+    }
+  if ((table = table_at (cluster, "cluster", "cloud", faults)))
+    {
+      s->cloud_rps = number_at (table, "cluster.cloud", "rps", 0.1, NAN, faults);
+      s->list_lag_s = number_at (table, "cluster.cloud", "list_lag_s", 0, 5, faults);
+    }
+  if ((table = cJSON_GetObjectItemCaseSensitive (cluster, "resources")))
+    {
+      s->cpu_share = number_at (table, "cluster.resources", "cpu_share", 0, 1, faults);
+      s->mem_mb = number_at (table, "cluster.resources", "mem_mb", 0, 0, faults);
+      s->sockets = (guint) number_at (table, "cluster.resources", "sockets", 16, 1024, faults);
+    }
+}
+
+HzbSettings *
+hzb_settings_parse (const char *text, const char *name, GError **error)
+{
+  char *message = NULL;
+  cJSON *root = hzb_toml_parse (text, name, &message);
+  g_autoptr (HzbSettings) s = g_new0 (HzbSettings, 1);
+  g_autoptr (GString) faults = g_string_new (NULL);
+  const cJSON *item, *table;
+
+  s->peers = g_ptr_array_new_with_free_func (peer_free);
+  s->zones = g_ptr_array_new_with_free_func (g_free);
+  s->teams = g_ptr_array_new_with_free_func (team_free);
+  s->objectives = g_ptr_array_new_with_free_func (objective_free);
+  if (!root)
+    {
+      g_set_error (error, HZB_SETTINGS_ERROR, 1, "not TOML: %s", message);
+      free (message);
+      return NULL;
+    }
+  s->node = text_at (root, "", "node", faults);
+  s->zone = text_at (root, "", "site", faults);
+  s->api_addr = addr_at (root, "", "api_addr", faults);
+  s->peer_addr = addr_at (root, "", "cluster_listen", faults);
+  cJSON_ArrayForEach (item, cJSON_GetObjectItemCaseSensitive (root, "peers"))
+    {
+      HzbPeer *peer = g_new0 (HzbPeer, 1);
+      const cJSON *zone = cJSON_GetObjectItemCaseSensitive (item, "site");
+      peer->node = text_at (item, "peers", "node", faults);
+      peer->zone = cJSON_IsString (zone) ? g_strdup (zone->valuestring) : NULL;
+      peer->address = addr_at (item, "peers", "address", faults);
+      g_ptr_array_add (s->peers, peer);
+    }
+  if ((table = table_at (root, "", "external", faults)))
+    {
+      s->cloud_addr = addr_at (table, "external", "cloud", faults);
+      s->store_addr = addr_at (table, "external", "state", faults);
+    }
+  if ((table = table_at (root, "", "cluster", faults)))
+    read_cluster (s, table, faults);
+  cJSON_Delete (root);
+  if (faults->len)
+    {
+      g_set_error (error, HZB_SETTINGS_ERROR, 2, "%s", faults->str);
+      return NULL;
+    }
+  return g_steal_pointer (&s);
+}
+
+HzbSettings *
+hzb_settings_load (const char *path, GError **error)
+{
+  g_autofree char *text = NULL;
+  if (!g_file_get_contents (path, &text, NULL, error))
+    return NULL;
+  return hzb_settings_parse (text, path, error);
+}
+
+void
+hzb_settings_free (HzbSettings *s)
+{
+  if (!s)
+    return;
+  g_free (s->node);
+  g_free (s->zone);
+  g_free (s->api_addr);
+  g_free (s->peer_addr);
+  g_free (s->cloud_addr);
+  g_free (s->store_addr);
+  g_ptr_array_unref (s->peers);
+  g_ptr_array_unref (s->zones);
+  g_ptr_array_unref (s->teams);
+  g_ptr_array_unref (s->objectives);
+  g_free (s);
+}
+
+int
+hzb_settings_team (const HzbSettings *s, const char *name)
+{
+  for (guint i = 0; i < s->teams->len; i++)
+    if (g_str_equal (((HzbTeam *) s->teams->pdata[i])->name, name))
+      return (int) i;
+  return -1;
+}
+
+gboolean
+hzb_split_addr (const char *addr, char **host, guint16 *port)
+{
+  const char *colon = strrchr (addr, ':');
+  guint64 number = 0;
+  g_autofree char *front = NULL;
+
+  if (!colon || !g_ascii_string_to_unsigned (colon + 1, 10, 1, 65535, &number, NULL))
+    return FALSE;
+  front = g_strndup (addr, (gsize) (colon - addr));
+  if (!g_hostname_is_ip_address (front))
+    return FALSE;
+  if (host)
+    *host = g_steal_pointer (&front);
+  if (port)
+    *port = (guint16) number;
+  return TRUE;
+}
--- /dev/null
+++ b/src/settings.h
@@ -0,0 +1,50 @@
+/* The platform's settings file, checked. Fields that this version does not know are ignored. */
+#pragma once
+#include <glib.h>
+
+typedef struct
+{
+  char *node, *zone, *address;
+} HzbPeer;
+
+typedef struct
+{
+  char *name;
+  double cpus, gpus;         /* guarantee */
+  double cpus_max, gpus_max; /* limit */
+} HzbTeam;
+
+typedef struct
+{
+  char *kind, *lane;
+  double within_s, share, times;
+} HzbObjective;
+
+typedef struct
+{
+  char *node, *zone, *api_addr, *peer_addr;
+  char *cloud_addr, *store_addr;
+  GPtrArray *peers;      /* HzbPeer */
+  GPtrArray *zones;      /* char* */
+  GPtrArray *teams;      /* HzbTeam */
+  GPtrArray *objectives; /* HzbObjective */
+  guint size;
+  double skew_ms;
+  double report_s, lease_s, gang_wait_s, gang_peer_s, cancel_s;
+  double store_rps, store_write_rps, store_value_kb;
+  guint store_txn_ops;
+  double cloud_rps, list_lag_s;
+  double cpu_share, mem_mb;
+  guint sockets;
+} HzbSettings;
+
+#define HZB_SETTINGS_ERROR (hzb_settings_error_quark ())
+GQuark hzb_settings_error_quark (void);
+
+/* On faults every one of them is in the error's message, a line each. */
+HzbSettings *hzb_settings_load (const char *path, GError **error);
+HzbSettings *hzb_settings_parse (const char *text, const char *name, GError **error);
+void hzb_settings_free (HzbSettings *settings);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (HzbSettings, hzb_settings_free)
+int hzb_settings_team (const HzbSettings *settings, const char *name); /* -1: unknown */
+gboolean hzb_split_addr (const char *addr, char **host, guint16 *port);
--- /dev/null
+++ b/src/store.c
@@ -0,0 +1,206 @@
+#include "store.h"
+
+#define CALL_MS 2500
+#define LEASE_CALL_MS 1500
+
+typedef struct
+{
+  HzbStore *store;
+  HzbStorePriority priority;
+  const char *method;
+  char *path, *body;
+  guint writes, timeout_ms;
+  struct timespec deadline;
+  HzbStoreFunc done;
+  gpointer user;
+} Request;
+
+struct _HzbStore
+{
+  HzbTransport *transport;
+  HzbClock *clock;
+  const HzbSettings *settings;
+  GQueue waiting[HZB_STORE_N_PRIORITIES];
+  double requests, writes; /* what the budget holds now */
+  struct timespec filled, served, not_before;
+  gboolean ever_served;
+};
+
+HzbStore *
+hzb_store_new (HzbTransport *transport, HzbClock *clock, const HzbSettings *settings)
+{
+  HzbStore *store = g_new0 (HzbStore, 1);
+  store->transport = transport;
+  store->clock = clock;
+  store->settings = settings;
+  store->filled = hzb_clock_now (clock);
+  return store;
+}
+
+static void
+request_free (Request *request)
+{
+  g_free (request->path);
+  g_free (request->body);
+  g_free (request);
+}
+
+void
+hzb_store_free (HzbStore *store)
+{
+  for (guint i = 0; i < HZB_STORE_N_PRIORITIES; i++)
+    g_queue_clear_full (&store->waiting[i], (GDestroyNotify) request_free);
+  g_free (store);
+}
+
+double
+hzb_store_silence (HzbStore *store)
+{
+  return store->ever_served ? hzb_time_between (store->served, hzb_clock_now (store->clock)) : 1e9;
+}
+
+guint
+hzb_store_backlog (HzbStore *store)
+{
+  guint n = 0;
+  for (guint i = 0; i < HZB_STORE_N_PRIORITIES; i++)
+    n += store->waiting[i].length;
+  return n;
+}
+
+static void
+on_reply (guint status, const char *body, gsize length, gpointer user)
+{
+  Request *request = user;
+  HzbStore *store = request->store;
+  struct timespec now = hzb_clock_now (store->clock);
+  HzbStoreResult result;
+
+  if (status == 429 && hzb_time_before (now, request->deadline))
+    {
+      /* Over the shared rate: nothing was done, so it goes to the head of its queue. */
+      store->not_before = hzb_time_plus (now, 0.2);
+      g_queue_push_head (&store->waiting[request->priority], request);
+      return;
+    }
+  if (status == 200 || status == 404 || status == 409 || status == 410)
+    {
+      store->served = now;
+      store->ever_served = TRUE;
+    }
+  result = status == 200                    ? HZB_STORE_OK
+           : status == 409                  ? HZB_STORE_CONFLICT
+           : status == 404 || status == 410 ? HZB_STORE_ABSENT
+           : status == 0 || status >= 500   ? (status == 503 ? HZB_STORE_REFUSED : HZB_STORE_UNKNOWN)
+                                            : HZB_STORE_REFUSED;
+  if (status == 400)
+    g_warning ("store: %s %s refused as malformed: %s", request->method, request->path, body);
+  request->done (result, body, request->user);
+  request_free (request);
+}
+
+static void
+send_now (HzbStore *store, Request *request)
+{
+  store->requests -= 1;
+  store->writes -= request->writes;
+  hzb_send (store->transport, request->method, store->settings->store_addr, request->path,
+            g_steal_pointer (&request->body), request->timeout_ms, on_reply, request);
+}
+
+void
+hzb_store_pump (HzbStore *store)
+{
+  struct timespec now = hzb_clock_now (store->clock);
+  double gap = hzb_time_between (store->filled, now);
+  /* The service counts all nodes together; half of each budget a node leaves the holder room. */
+  double rps = store->settings->store_rps * 0.5, write_rps = store->settings->store_write_rps * 0.6;
+
+  store->filled = now;
+  store->requests = MIN (store->requests + gap * rps, rps);
+  store->writes = MIN (store->writes + gap * write_rps, MAX (write_rps, store->settings->store_txn_ops));
+  for (guint i = 0; i < HZB_STORE_N_PRIORITIES; i++)
+    {
+      Request *request;
+      while ((request = g_queue_peek_head (&store->waiting[i])))
+        {
+          gboolean expired = hzb_time_before (request->deadline, now);
+          if (!expired && i > HZB_STORE_LEASE
+              && (store->requests < 1 || (request->writes && store->writes < request->writes)
+                  || hzb_time_before (now, store->not_before)))
+            return; /* a lower priority never overtakes */
+          g_queue_pop_head (&store->waiting[i]);
+          if (expired)
+            {
+              request->done (HZB_STORE_REFUSED, "", request->user);
+              request_free (request);
+            }
+          else
+            send_now (store, request);
+        }
+    }
+}
+
+static void
+add (HzbStore *store, HzbStorePriority priority, const char *method, char *path, char *body, guint writes,
+     guint timeout_ms, HzbStoreFunc done, gpointer user)
+{
+  Request *request = g_new0 (Request, 1);
+  request->store = store;
+  request->priority = priority;
+  request->method = method;
+  request->path = path;
+  request->body = body;
+  request->writes = writes;
+  request->timeout_ms = timeout_ms;
+  request->deadline = hzb_time_plus (hzb_clock_now (store->clock), timeout_ms / 1000.0);
+  request->done = done;
+  request->user = user;
+  g_queue_push_tail (&store->waiting[priority], request);
+  hzb_store_pump (store);
+}
+
+void
+hzb_store_get (HzbStore *store, HzbStorePriority priority, const char *key, HzbStoreFunc done, gpointer user)
+{
+  add (store, priority, "GET", hzb_wire_get_path (key), NULL, 0, CALL_MS, done, user);
+}
+
+void
+hzb_store_range (HzbStore *store, const char *prefix, const char *after, HzbStoreFunc done, gpointer user)
+{
+  add (store, HZB_STORE_READ, "GET", hzb_wire_range_path (prefix, after, 500), NULL, 0, 4000, done, user);
+}
+
+void
+hzb_store_txn (HzbStore *store, HzbStorePriority priority, cJSON *txn, HzbStoreFunc done, gpointer user)
+{
+  guint writes = hzb_wire_txn_writes (txn);
+  char *body = cJSON_PrintUnformatted (txn);
+  cJSON_Delete (txn);
+  add (store, priority, "POST", g_strdup (hzb_path_txn), body, writes, CALL_MS, done, user);
+}
+
+void
+hzb_store_watch (HzbStore *store, const char *prefix, guint64 after, guint wait_ms, HzbStoreFunc done, gpointer user)
+{
+  add (store, HZB_STORE_LEASE, "GET", hzb_wire_watch_path (prefix, after, wait_ms), NULL, 0, wait_ms + 2000, done, user);
+}
+
+void
+hzb_store_lease (HzbStore *store, guint ttl_ms, HzbStoreFunc done, gpointer user)
+{
+  add (store, HZB_STORE_LEASE, "POST", g_strdup (hzb_path_leases), hzb_wire_lease (ttl_ms), 0, LEASE_CALL_MS, done, user);
+}
+
+void
+hzb_store_renew (HzbStore *store, guint64 lease, HzbStoreFunc done, gpointer user)
+{
+  add (store, HZB_STORE_LEASE, "POST", hzb_wire_renew_path (lease), NULL, 0, LEASE_CALL_MS, done, user);
+}
+
+void
+hzb_store_end_lease (HzbStore *store, guint64 lease, HzbStoreFunc done, gpointer user)
+{
+  add (store, HZB_STORE_LEASE, "DELETE", hzb_wire_end_lease_path (lease), NULL, 0, LEASE_CALL_MS, done, user);
+}
--- /dev/null
+++ b/src/store.h
@@ -0,0 +1,45 @@
+/* Client of the state service: a budget of requests and of writes, shared out by priority.
+ * What waits longer than its time is given up unsent, and its caller is told so. */
+#pragma once
+#include "clock.h"
+#include "http.h"
+#include "settings.h"
+#include "wire.h"
+
+typedef enum
+{
+  HZB_STORE_LEASE,  /* leadership */
+  HZB_STORE_ACCEPT, /* acceptance and cancellation */
+  HZB_STORE_READ,   /* what a user waits for */
+  HZB_STORE_RECORD, /* progress, machines */
+  HZB_STORE_N_PRIORITIES
+} HzbStorePriority;
+
+/* What an answer means for the caller. */
+typedef enum
+{
+  HZB_STORE_OK,
+  HZB_STORE_CONFLICT, /* 409 */
+  HZB_STORE_ABSENT,   /* 404, 410 */
+  HZB_STORE_REFUSED,  /* not carried out */
+  HZB_STORE_UNKNOWN   /* may have been, or may still be carried out */
+} HzbStoreResult;
+
+typedef void (*HzbStoreFunc) (HzbStoreResult result, const char *body, gpointer user);
+
+typedef struct _HzbStore HzbStore;
+
+HzbStore *hzb_store_new (HzbTransport *transport, HzbClock *clock, const HzbSettings *settings);
+void hzb_store_free (HzbStore *store);
+void hzb_store_pump (HzbStore *store);
+void hzb_store_get (HzbStore *store, HzbStorePriority priority, const char *key, HzbStoreFunc done, gpointer user);
+void hzb_store_range (HzbStore *store, const char *prefix, const char *after, HzbStoreFunc done, gpointer user);
+void hzb_store_txn (HzbStore *store, HzbStorePriority priority, cJSON *txn, HzbStoreFunc done, gpointer user);
+void hzb_store_watch (HzbStore *store, const char *prefix, guint64 after, guint wait_ms, HzbStoreFunc done, gpointer user);
+void hzb_store_lease (HzbStore *store, guint ttl_ms, HzbStoreFunc done, gpointer user);
+void hzb_store_renew (HzbStore *store, guint64 lease, HzbStoreFunc done, gpointer user);
+void hzb_store_end_lease (HzbStore *store, guint64 lease, HzbStoreFunc done, gpointer user);
+
+/* Seconds since the service last answered as one that serves us; large when it never did. */
+double hzb_store_silence (HzbStore *store);
+guint hzb_store_backlog (HzbStore *store);
--- /dev/null
+++ b/src/wire.h
@@ -0,0 +1,181 @@
+/* The only part that knows the names used on the wire. Everything inside uses the field's terms. */
+#pragma once
+#include <cjson/cJSON.h>
+#include <glib.h>
+
+#define HZB_MAX_BODY (64 * 1024)
+#define HZB_MAX_TASKS 100000u
+
+typedef enum
+{
+  HZB_URGENCY_IDLE,
+  HZB_URGENCY_NORMAL,
+  HZB_URGENCY_HIGH,
+  HZB_URGENCY_PRODUCTION,
+  HZB_N_URGENCIES
+} HzbUrgency;
+
+/* What a user asks for. */
+typedef struct
+{
+  char *uid, *lane, *team;
+  gboolean gang;
+  HzbUrgency urgency;
+  guint tasks;
+  double cpus, gpus, memory_gb;
+  char *image;
+  double image_gb;
+  char **types; /* NULL: any */
+  char *zone;   /* NULL: any */
+  gboolean same_zone, spread, spot;
+  double estimate_s, checkpoint_s, save_s, deadline_s; /* deadline_s 0: none */
+} HzbSpec;
+
+void hzb_spec_free (HzbSpec *spec);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (HzbSpec, hzb_spec_free)
+
+typedef struct
+{
+  char *name;
+  double cpus, gpus, memory_gb, cache_gb, fetch_gb_per_s, price, spot_price, boot_s;
+  char **zones;
+} HzbMachineType;
+
+void hzb_machine_type_free (HzbMachineType *type);
+
+typedef enum
+{
+  HZB_PIECE_FETCHING,
+  HZB_PIECE_WAITING,
+  HZB_PIECE_RUNNING,
+  HZB_PIECE_SAVING,
+  HZB_PIECE_EXITED
+} HzbPieceState;
+
+typedef enum
+{
+  HZB_WHY_NONE,
+  HZB_WHY_DONE,
+  HZB_WHY_STOPPED,
+  HZB_WHY_PEERS,
+  HZB_WHY_ALONE,
+  HZB_WHY_ERROR,
+  HZB_WHY_NO_ROOM,
+  HZB_WHY_BUSY,
+  HZB_WHY_UNKNOWN
+} HzbWhy;
+
+/* One line of a worker's report. */
+typedef struct
+{
+  char *uid;
+  guint task;
+  guint64 attempt;
+  HzbPieceState state;
+  HzbWhy why;
+  gboolean saved;
+} HzbPiece;
+
+typedef struct
+{
+  char *host, *addr, *type, *zone;
+  gboolean spot;
+  guint64 session, seq, token;
+  double notice_s; /* below 0: none */
+  GArray *pieces;  /* HzbPiece */
+} HzbReport;
+
+void hzb_report_free (HzbReport *report);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (HzbReport, hzb_report_free)
+
+typedef enum
+{
+  HZB_ORDER_START,
+  HZB_ORDER_STOP,
+  HZB_ORDER_FORGET
+} HzbOrderKind;
+
+typedef struct
+{
+  HzbOrderKind kind;
+  const char *uid; /* not owned */
+  guint task;
+  guint64 attempt;
+  double grace_s;
+} HzbOrder;
+
+typedef struct
+{
+  char *name, *addr, *type, *zone;
+  gboolean spot;
+  enum
+  {
+    HZB_LISTED_STARTING,
+    HZB_LISTED_RUNNING,
+    HZB_LISTED_FAILED
+  } state;
+  double age_s;
+} HzbListed;
+
+void hzb_listed_free (HzbListed *listed);
+
+typedef struct
+{
+  char *key;
+  cJSON *value; /* NULL: removed */
+  guint64 version;
+} HzbItem;
+
+void hzb_item_clear (HzbItem *item);
+
+#define HZB_WIRE_ERROR (hzb_wire_error_quark ())
+GQuark hzb_wire_error_quark (void);
+
+/* users */
+extern const char hzb_path_jobs[], hzb_path_ready[], hzb_path_report[], hzb_path_cancel[];
+gboolean hzb_wire_uid_ok (const char *uid);
+HzbSpec *hzb_wire_parse_job (const char *body, gsize length, GError **error);
+char *hzb_wire_job_status (const char *uid, const char *status, gboolean counts, guint done, guint running);
+char *hzb_wire_error (const char *text);
+cJSON *hzb_wire_pack_spec (const HzbSpec *spec); /* the durable form */
+HzbSpec *hzb_wire_unpack_spec (const char *uid, const cJSON *value);
+
+/* workers */
+HzbReport *hzb_wire_parse_report (const char *body, gsize length, GError **error);
+char *hzb_wire_orders (guint64 token, const GArray *orders); /* HzbOrder */
+char *hzb_wire_redirect (const char *node);                  /* NULL: nobody known */
+
+/* cloud */
+extern const char hzb_path_types[], hzb_path_rent[], hzb_path_return[];
+GPtrArray *hzb_wire_parse_types (const char *body); /* HzbMachineType */
+cJSON *hzb_wire_pack_types (const GPtrArray *types);
+GPtrArray *hzb_wire_unpack_types (const cJSON *value);
+char *hzb_wire_rent (const char *request, const char *type, const char *zone, gboolean spot, guint count);
+GPtrArray *hzb_wire_parse_names (const char *body); /* char* */
+char *hzb_wire_return (const GPtrArray *names);
+char *hzb_wire_list_path (const char *after, guint limit);
+GPtrArray *hzb_wire_parse_list (const char *body, gboolean *more); /* HzbListed */
+
+/* state service */
+extern const char hzb_path_txn[], hzb_path_leases[];
+cJSON *hzb_wire_txn (void);
+void hzb_wire_txn_if (cJSON *txn, const char *key, guint64 version);
+void hzb_wire_txn_put (cJSON *txn, const char *key, cJSON *value, guint64 lease);
+void hzb_wire_txn_delete (cJSON *txn, const char *key);
+guint hzb_wire_txn_writes (const cJSON *txn);
+gboolean hzb_wire_parse_txn (const char *body, guint64 *revision, GPtrArray **failed);
+char *hzb_wire_get_path (const char *key);
+gboolean hzb_wire_parse_item (const char *body, HzbItem *item);
+char *hzb_wire_range_path (const char *prefix, const char *after, guint limit);
+GArray *hzb_wire_parse_range (const char *body, gboolean *more, guint64 *revision); /* HzbItem */
+char *hzb_wire_watch_path (const char *prefix, guint64 after, guint wait_ms);
+GArray *hzb_wire_parse_watch (const char *body, guint64 *revision); /* HzbItem */
+char *hzb_wire_lease (guint ttl_ms);
+guint64 hzb_wire_parse_lease (const char *body); /* 0: not one */
+char *hzb_wire_renew_path (guint64 lease);
+char *hzb_wire_end_lease_path (guint64 lease);
+
+guint64 hzb_json_u64 (const cJSON *object, const char *name);
+double hzb_json_number (const cJSON *object, const char *name, double fallback);
+const char *hzb_json_text (const cJSON *object, const char *name);
+void hzb_json_add_u64 (cJSON *object, const char *name, guint64 value);
