Serve HTTP with libsoup 2.4: the server of 3.2 keeps closed connections

Ruled out: pausing of messages, extra references, the early handler: a twelve-line server on libsoup 3.2.3 shows the same; on 2.74 the connections are closed. Conclusion: libsoup 2.4 is the nearest kin that fits the machines.

--- a/src/http.c
+++ b/src/http.c
@@ -3,6 +3,7 @@
 #include "settings.h"
 #include "wire.h"
 
+#define SOUP_VERSION_MIN_REQUIRED SOUP_VERSION_2_70
 #include <libsoup/soup.h>
 #include <string.h>
 
@@ -16,8 +17,8 @@
 
 typedef struct
 {
+  SoupSession *session;
   SoupMessage *message;
-  GCancellable *cancellable;
   guint timer;
   HzbReplyFunc done;
   gpointer user;
@@ -28,26 +29,21 @@
 {
   Call *call = data;
   call->timer = 0;
-  g_cancellable_cancel (call->cancellable);
+  soup_session_cancel_message (call->session, call->message, SOUP_STATUS_CANCELLED);
   return G_SOURCE_REMOVE;
 }
 
 static void
-call_done (GObject *session, GAsyncResult *result, gpointer data)
+call_done (SoupSession *session, SoupMessage *message, gpointer data)
 {
   Call *call = data;
-  g_autoptr (GError) error = NULL;
-  g_autoptr (GBytes) bytes = soup_session_send_and_read_finish (SOUP_SESSION (session), result, &error);
-  guint status = error ? 0 : soup_message_get_status (call->message);
-  gsize length = 0;
-  const char *data_in = bytes ? g_bytes_get_data (bytes, &length) : NULL;
-  g_autofree char *body = g_strndup (data_in ? data_in : "", length); /* parsers want the closing NUL */
+  /* Below 100 are libsoup's own codes: no answer came. */
+  guint status = SOUP_STATUS_IS_TRANSPORT_ERROR (message->status_code) ? 0 : message->status_code;
+  g_autoptr (SoupBuffer) body = soup_message_body_flatten (message->response_body); /* ends with a NUL */
 
   if (call->timer)
     g_source_remove (call->timer);
-  call->done (status, body, length, call->user);
-  g_object_unref (call->message);
-  g_object_unref (call->cancellable);
+  call->done (status, body->data, body->length, call->user);
   g_free (call);
 }
 
@@ -59,19 +55,15 @@
   g_autofree char *uri = g_strconcat ("http://", addr, path, NULL);
   Call *call = g_new0 (Call, 1);
 
+  call->session = client->session;
   call->message = soup_message_new (method, uri);
-  call->cancellable = g_cancellable_new ();
   call->done = done;
   call->user = user;
   if (body)
-    {
-      g_autoptr (GBytes) bytes = g_bytes_new_take (body, strlen (body));
-      soup_message_set_request_body_from_bytes (call->message, "application/json", bytes);
-    }
+    soup_message_set_request (call->message, "application/json", SOUP_MEMORY_TAKE, body, strlen (body));
   /* A connection taken from the pool may be behind a cut; every call has its own end. */
   call->timer = g_timeout_add (timeout_ms, call_expired, call);
-  soup_session_send_and_read_async (client->session, call->message, G_PRIORITY_DEFAULT, call->cancellable,
-                                    call_done, call);
+  soup_session_queue_message (client->session, call->message, call_done, call); /* takes the message */
 }
 
 HzbTransport *
@@ -80,8 +72,9 @@
   Client *client = g_new0 (Client, 1);
   client->parent.send = client_send;
   /* No proxy resolver: it would load GIO modules and ask D-Bus, and there are no names to look up. */
-  client->session = soup_session_new_with_options ("proxy-resolver", NULL, "max-conns", 64, "max-conns-per-host", 24,
-                                                   "idle-timeout", 30, "timeout", 0, NULL);
+  client->session = soup_session_new_with_options (SOUP_SESSION_PROXY_RESOLVER, NULL, SOUP_SESSION_MAX_CONNS, 64,
+                                                   SOUP_SESSION_MAX_CONNS_PER_HOST, 24, SOUP_SESSION_IDLE_TIMEOUT, 30,
+                                                   SOUP_SESSION_TIMEOUT, 0, NULL);
   return &client->parent;
 }
 
@@ -108,57 +101,67 @@
 static void
 soup_reply (HzbExchange *exchange, guint status, const char *body, guint retry_after_s)
 {
-  SoupServerMessage *message = exchange->impl;
-  SoupMessageHeaders *headers = soup_server_message_get_response_headers (message);
+  HzbHttpServer *server = exchange->server;
+  SoupMessage *message = exchange->impl;
 
-  soup_server_message_set_status (message, status, NULL);
+  soup_message_set_status (message, status);
   if (retry_after_s)
     {
       char text[16];
       g_snprintf (text, sizeof text, "%u", retry_after_s);
-      soup_message_headers_replace (headers, "Retry-After", text);
+      soup_message_headers_replace (message->response_headers, "Retry-After", text);
     }
   if (body)
-    soup_server_message_set_response (message, "application/json", SOUP_MEMORY_COPY, body, strlen (body));
-  soup_server_message_unpause (message);
+    soup_message_set_response (message, "application/json", SOUP_MEMORY_COPY, body, strlen (body));
+  if (exchange->answered)
+    *exchange->answered = TRUE;
+  else
+    soup_server_unpause_message (server->soup, message);
   g_object_unref (message);
 }
 
 static void
-on_request (SoupServer *soup, SoupServerMessage *message, const char *path, GHashTable *query, gpointer user)
+on_request (SoupServer *soup, SoupMessage *message, const char *path, GHashTable *query, SoupClientContext *client,
+            gpointer user)
 {
   HzbHttpServer *server = user;
-  HzbExchange *exchange;
-  SoupMessageBody *body = soup_server_message_get_request_body (message);
-  g_autoptr (GBytes) bytes = soup_message_body_flatten (body);
-  gsize length = 0;
-  const char *data = g_bytes_get_data (bytes, &length);
-
-  exchange = g_new0 (HzbExchange, 1);
-  exchange->method = g_strdup (soup_server_message_get_method (message));
+  HzbExchange *exchange = g_new0 (HzbExchange, 1);
+  g_autoptr (SoupBuffer) body = soup_message_body_flatten (message->request_body);
+  gboolean answered = FALSE;
+
+  exchange->method = g_strdup (message->method);
   exchange->path = g_strdup (path);
-  exchange->body = g_strndup (data ? data : "", length);
-  exchange->length = length;
+  exchange->body = g_strndup (body->data, body->length);
+  exchange->length = body->length;
   exchange->reply = soup_reply;
+  exchange->server = server;
   exchange->impl = g_object_ref (message);
-  soup_server_message_pause (message);
+  exchange->answered = &answered;
   server->handler (exchange, server->user);
+  if (!answered)
+    {
+      exchange->answered = NULL;
+      soup_server_pause_message (soup, message);
+    }
 }
 
-/* A body over the limit is refused from its headers, before it costs memory. */
 static void
-on_headers (SoupServer *soup, SoupServerMessage *message, const char *path, GHashTable *query, gpointer user)
+refuse_size (SoupMessage *message)
 {
-  SoupMessageHeaders *headers = soup_server_message_get_request_headers (message);
   static const char refusal[] = "{\"error\":\"the body is over 64 KiB\"}";
+  soup_message_set_status (message, 400);
+  soup_message_set_response (message, "application/json", SOUP_MEMORY_STATIC, refusal, sizeof refusal - 1);
+  soup_message_headers_replace (message->response_headers, "Connection", "close");
+}
 
-  if (soup_message_headers_get_encoding (headers) == SOUP_ENCODING_CONTENT_LENGTH
-      && soup_message_headers_get_content_length (headers) > HZB_MAX_BODY && g_str_has_prefix (path, hzb_path_jobs))
-    {
-      soup_server_message_set_status (message, 400, NULL);
-      soup_server_message_set_response (message, "application/json", SOUP_MEMORY_STATIC, refusal, sizeof refusal - 1);
-      soup_message_headers_replace (soup_server_message_get_response_headers (message), "Connection", "close");
-    }
+/* A body over the limit is refused from its headers, before it costs memory. */
+static void
+on_headers (SoupServer *soup, SoupMessage *message, const char *path, GHashTable *query, SoupClientContext *client,
+            gpointer user)
+{
+  if (soup_message_headers_get_encoding (message->request_headers) == SOUP_ENCODING_CONTENT_LENGTH
+      && soup_message_headers_get_content_length (message->request_headers) > HZB_MAX_BODY)
+    refuse_size (message);
 }
 
 HzbHttpServer *
@@ -173,7 +176,7 @@
   address = g_inet_socket_address_new_from_string (host, port);
   server->handler = handler;
   server->user = user;
-  server->soup = soup_server_new ("server-header", "hazelbank", NULL);
+  server->soup = soup_server_new (SOUP_SERVER_SERVER_HEADER, "hazelbank", NULL);
   soup_server_add_early_handler (server->soup, NULL, on_headers, server, NULL);
   soup_server_add_handler (server->soup, NULL, on_request, server, NULL);
   if (!soup_server_listen (server->soup, address, 0, error))
--- a/src/http.h
+++ b/src/http.h
@@ -29,7 +29,8 @@
   char *body;
   gsize length;
   void (*reply) (HzbExchange *self, guint status, const char *body, guint retry_after_s);
-  gpointer impl;
+  gpointer impl, server;
+  gboolean *answered; /* set while its handler runs */
 };
 
 void hzb_exchange_reply (HzbExchange *exchange, guint status, char *body, guint retry_after_s); /* takes body */
