--- a/src/api.c
+++ b/src/api.c
@@ -486,6 +486,7 @@
 
   if (!spec)
     {
+      g_message ("a submission is malformed: %s", error->message);
       hzb_exchange_reply (exchange, 400, hzb_wire_error (error->message), 0);
       return;
     }
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -318,9 +318,7 @@
   for (guint i = 0; i < d->jobs->active->len; i++)
     {
       HzbJob *job = d->jobs->active->pdata[i];
-      cpus[job->team] += job->listed * job->spec->cpus;
-      gpus[job->team] += job->listed * job->spec->gpus;
-      if (job->state == HZB_JOB_ACCEPTED && job->pending)
+      if (job->state == HZB_JOB_ACCEPTED && (job->pending || job->listed))
         g_ptr_array_add (order, job);
     }
   g_ptr_array_sort (order, by_class);
@@ -328,8 +326,12 @@
     {
       HzbJob *job = order->pdata[i];
       const HzbSpec *spec = job->spec;
-      if (hzb_time_before (now, job->not_before))
-        continue;
+      /* What of this class or a higher one waits in lists comes before; lower work does not. */
+      cpus[job->team] += job->listed * spec->cpus;
+      gpus[job->team] += job->listed * spec->gpus;
+      if (!job->pending || hzb_time_before (now, job->not_before)
+          || (job->failures >= 4 && job->placed + job->listed > 0))
+        continue; /* a job that failed wherever it started is tried with one task at a time */
       if (spec->gang)
         {
           place_gang (d, job, now);
@@ -352,6 +354,8 @@
           cpus[job->team] += spec->cpus;
           gpus[job->team] += spec->gpus;
           budget--;
+          if (job->failures >= 4)
+            break;
         }
     }
 }
@@ -454,7 +458,12 @@
       {
         HzbTask *needy = l->data;
         const HzbSpec *spec = needy->job->spec;
-        if (hzb_time_between (needy->job->since, now) < preempt_after_s (d, needy->job) || !startable (d, needy, m))
+        /* Over the team's limit only the team's own lower work can make room. */
+        gboolean own = !hzb_block_fits (d->jobs->block, needy->job->team, spec->cpus, spec->gpus);
+        if (needy->job->state != HZB_JOB_ACCEPTED || !zone_allowed (needy->job, m)
+            || hzb_time_between (needy->job->since, now) < preempt_after_s (d, needy->job))
+          continue;
+        if (own && cpus + 1e-6 >= spec->cpus)
           continue;
         while (cpus + 1e-6 < spec->cpus || gpus + 1e-6 < spec->gpus || memory + 1e-6 < spec->memory_gb)
           {
@@ -467,7 +476,7 @@
                 const HzbSpec *other = task->job->spec;
                 double ran = hzb_time_between (task->since, now), cost;
                 if (task->stopping || other->gang || (task->state != HZB_TASK_RUNNING && task->state != HZB_TASK_FETCHING)
-                    || !may_preempt (d, needy->job, task))
+                    || (own && task->job->team != needy->job->team) || !may_preempt (d, needy->job, task))
                   continue;
                 if (task->state == HZB_TASK_RUNNING && remaining_s (task, now) < NEARLY_DONE_S)
                   continue;
--- a/src/wire.c
+++ b/src/wire.c
@@ -203,9 +203,10 @@
     return bad (error, "uid", "an id such as run-000412");
   spec->uid = g_strdup (hzb_json_text (root, "uid"));
   shape = hzb_json_text (root, "shape");
-  if (g_strcmp0 (shape, "sweep") != 0 && g_strcmp0 (shape, "ensemble") != 0)
-    return bad (error, "shape", "sweep or ensemble");
-  spec->gang = *shape == 'e';
+  if (g_strcmp0 (shape, "sweep") != 0 && g_strcmp0 (shape, "ensemble") != 0 && g_strcmp0 (shape, "standing") != 0)
+    return bad (error, "shape", "sweep, ensemble or standing");
+  spec->gang = g_str_equal (shape, "ensemble");
+  spec->service = g_str_equal (shape, "standing");
   if (!take_text (root, "lane", &spec->lane, error) || !take_text (root, "owner", &spec->team, error)
       || !take_urgency (root, &spec->urgency, error) || !take_number (root, "pieces", 0, TRUE, &tasks, error)
       || !take_number (root, "cpus", 0, FALSE, &spec->cpus, error)
@@ -215,7 +216,7 @@
       || !take_number (root, "sizeGb", 0, FALSE, &spec->image_gb, error)
       || !take_flag (root, "samePlace", &spec->same_zone, error)
       || !take_flag (root, "spread", &spec->spread, error) || !take_flag (root, "loaners", &spec->spot, error)
-      || !take_number (root, "expectS", 0, TRUE, &spec->estimate_s, error)
+      || !take_number (root, "expectS", 0, !spec->service, &spec->estimate_s, error)
       || !take_number (root, "snapshotEveryS", 0, FALSE, &spec->checkpoint_s, error)
       || !take_number (root, "snapshotS", 0, FALSE, &spec->save_s, error))
     return FALSE;
@@ -296,7 +297,7 @@
   cJSON_AddStringToObject (root, "uid", spec->uid);
   cJSON_AddStringToObject (root, "lane", spec->lane);
   cJSON_AddStringToObject (root, "owner", spec->team);
-  cJSON_AddStringToObject (root, "shape", spec->gang ? "ensemble" : "sweep");
+  cJSON_AddStringToObject (root, "shape", spec->gang ? "ensemble" : spec->service ? "standing" : "sweep");
   cJSON_AddStringToObject (root, "urgency", urgencies[spec->urgency]);
   cJSON_AddNumberToObject (root, "pieces", spec->tasks);
   cJSON_AddNumberToObject (root, "cpus", spec->cpus);
--- a/src/wire.h
+++ b/src/wire.h
@@ -20,6 +20,7 @@
 {
   char *uid, *lane, *team;
   gboolean gang;
+  gboolean service; /* its tasks run until it is cancelled */
   HzbUrgency urgency;
   guint tasks;
   double cpus, gpus, memory_gb;
--- /dev/null
+++ b/tests/test-dispatch.c
@@ -0,0 +1,242 @@
+#include "fleet.h"
+#include "support.h"
+
+#include <math.h>
+
+/* The rule, plainly: every machine, nothing remembered. */
+static HzbMachine *
+plain_choose (Bench *b, HzbJob *job, double *least)
+{
+  HzbMachine *best = NULL;
+  const HzbSpec *spec = job->spec;
+  *least = INFINITY;
+  for (guint i = 0; i < b->machines->all->len; i++)
+    {
+      HzbMachine *m = b->machines->all->pdata[i];
+      HzbEstimate *e = &m->estimates[hzb_job_class (job)];
+      double u = 0, v = floor (m->type->cpus / spec->cpus + 1e-9);
+      if (m->state != HZB_MACHINE_ACTIVE || (spec->zone && strcmp (spec->zone, m->zone)) || (m->spot && !spec->spot))
+        continue;
+      v = MIN (v, floor (m->type->memory_gb / spec->memory_gb + 1e-9));
+      if (v < 1)
+        continue;
+      for (guint k = 0; k < e->length; k++)
+        u += (double) k * e->mass[k];
+      u += b->dispatch->h * spec->estimate_s / v;
+      if (u < *least)
+        {
+          *least = u;
+          best = m;
+        }
+    }
+  return best;
+}
+
+static void
+test_rule (void)
+{
+  for (guint32 seed = 1; seed <= 30; seed++)
+    {
+      Bench b;
+      guint n;
+      bench_up (&b, seed);
+      n = (guint) g_rand_int_range (b.rand, 1, 12);
+      for (guint i = 0; i < n; i++)
+        bench_machine (&b, g_rand_boolean (b.rand) ? "big" : "small", g_rand_boolean (b.rand) ? "za" : "zb",
+                       g_rand_boolean (b.rand));
+      for (guint i = 0; i < 30; i++)
+        {
+          HzbJob *job = bench_job (&b, "red", HZB_URGENCY_NORMAL, 1, g_rand_int_range (b.rand, 1, 6),
+                                   g_rand_double_range (b.rand, 1, 30));
+          HzbMachine *m, *plain;
+          double least;
+          if (g_rand_boolean (b.rand))
+            job->spec->zone = g_strdup ("za");
+          m = hzb_dispatch_choose (b.dispatch, job, hzb_clock_now (b.clock));
+          plain = plain_choose (&b, job, &least);
+          g_assert_true ((m == NULL) == (plain == NULL));
+          if (m)
+            {
+              /* Rounding may tell equals apart: what counts is that no machine is better. */
+              double v = hzb_type_speed (m->type, job->spec);
+              g_assert_cmpfloat_with_epsilon (hzb_estimate_mean (&m->estimates[hzb_job_class (job)])
+                                                  + b.dispatch->h * job->spec->estimate_s / v,
+                                              least, 1e-3);
+              hzb_task_set_state (b.jobs, hzb_job_next_pending (job, hzb_clock_now (b.clock)), HZB_TASK_LISTED, m);
+              for (guint c = 0; c <= hzb_job_class (job); c++)
+                hzb_estimate_send (&m->estimates[c], job->spec->estimate_s / v);
+            }
+          hzb_clock_advance (b.clock, g_rand_int_range (b.rand, 0, 4));
+        }
+      bench_down (&b);
+    }
+}
+
+/* When more is asked than can be done, only a sample is looked at, and it still finds a machine. */
+static void
+test_sampling (void)
+{
+  Bench b;
+  guint found = 0;
+  bench_up (&b, 7);
+  for (guint i = 0; i < 60; i++)
+    bench_machine (&b, "big", "za", FALSE);
+  b.dispatch->lagging = TRUE;
+  for (guint i = 0; i < 50; i++)
+    found += hzb_dispatch_choose (b.dispatch, bench_job (&b, "red", HZB_URGENCY_NORMAL, 1, 1, 5), hzb_clock_now (b.clock)) != NULL;
+  g_assert_cmpuint (found, ==, 50);
+  bench_down (&b);
+}
+
+static guint
+count_orders (const GArray *orders, HzbOrderKind kind)
+{
+  guint n = 0;
+  for (guint i = 0; i < orders->len; i++)
+    n += g_array_index (orders, HzbOrder, i).kind == kind;
+  return n;
+}
+
+/* No order of reports starts more than the team's limit allows. */
+static void
+test_limit (void)
+{
+  Bench b;
+  guint started = 0;
+  bench_up (&b, 3);
+  bench_job (&b, "red", HZB_URGENCY_NORMAL, 100, 2, 10);
+  for (guint i = 0; i < 8; i++)
+    bench_machine (&b, "big", "za", FALSE);
+  for (guint round = 0; round < 3; round++)
+    {
+      hzb_dispatch_run (b.dispatch, hzb_clock_now (b.clock));
+      for (guint i = 0; i < 8; i++)
+        {
+          g_autoptr (GArray) orders = g_array_new (FALSE, FALSE, sizeof (HzbOrder));
+          hzb_dispatch_fill (b.dispatch, b.machines->all->pdata[i], hzb_clock_now (b.clock), orders);
+          started += count_orders (orders, HZB_ORDER_START);
+        }
+    }
+  g_assert_cmpuint (started, ==, 20); /* 40 CPUs at most */
+  g_assert_cmpfloat (b.block->cpus[0], ==, 40);
+  bench_down (&b);
+}
+
+static void
+test_move_to_idle (void)
+{
+  Bench b;
+  HzbJob *job;
+  g_autoptr (GArray) orders = g_array_new (FALSE, FALSE, sizeof (HzbOrder));
+  HzbMachine *first, *second;
+  bench_up (&b, 3);
+  first = bench_machine (&b, "small", "za", FALSE);
+  job = bench_job (&b, "red", HZB_URGENCY_NORMAL, 8, 2, 10);
+  hzb_dispatch_run (b.dispatch, hzb_clock_now (b.clock));
+  g_assert_cmpuint (hzb_machine_listed (first), ==, 8);
+  second = bench_machine (&b, "small", "zb", FALSE);
+  hzb_dispatch_fill (b.dispatch, second, hzb_clock_now (b.clock), orders);
+  g_assert_cmpuint (orders->len, ==, 2);
+  g_assert_cmpuint (second->tasks->len, ==, 2);
+  g_assert_cmpuint (hzb_machine_listed (first), ==, 6);
+  /* What was sent stays where it is until a report shows it gone. */
+  hzb_dispatch_run (b.dispatch, hzb_clock_now (b.clock));
+  g_assert_cmpint (job->tasks[0].state, ==, HZB_TASK_STARTING);
+  bench_down (&b);
+}
+
+/* An urgent task has lower work stopped; work of its own priority is left alone. */
+static void
+test_preemption (void)
+{
+  for (guint same = 0; same < 2; same++)
+    {
+      Bench b;
+      HzbMachine *m;
+      HzbJob *low;
+      g_autoptr (GArray) orders = g_array_new (FALSE, FALSE, sizeof (HzbOrder));
+      bench_up (&b, 3);
+      m = bench_machine (&b, "small", "za", FALSE);
+      low = bench_job (&b, "red", same ? HZB_URGENCY_HIGH : HZB_URGENCY_IDLE, 10, 4, 100);
+      hzb_dispatch_run (b.dispatch, hzb_clock_now (b.clock));
+      hzb_dispatch_fill (b.dispatch, m, hzb_clock_now (b.clock), orders);
+      g_assert_cmpuint (count_orders (orders, HZB_ORDER_START), ==, 1);
+      hzb_task_set_state (b.jobs, &low->tasks[0], HZB_TASK_RUNNING, m);
+      bench_job (&b, "red", HZB_URGENCY_HIGH, 1, 4, 10);
+      hzb_dispatch_run (b.dispatch, hzb_clock_now (b.clock));
+      hzb_clock_advance (b.clock, 30);
+      g_array_set_size (orders, 0);
+      hzb_dispatch_fill (b.dispatch, m, hzb_clock_now (b.clock), orders);
+      g_assert_cmpuint (count_orders (orders, HZB_ORDER_STOP), ==, same ? 0 : 1);
+      g_assert_cmpuint (count_orders (orders, HZB_ORDER_START), ==, 0);
+      bench_down (&b);
+    }
+}
+
+static void
+test_gang (void)
+{
+  Bench b;
+  HzbJob *job;
+  guint zb = 0;
+  bench_up (&b, 3);
+  bench_machine (&b, "small", "za", FALSE);
+  bench_machine (&b, "small", "zb", FALSE);
+  job = bench_job (&b, "red", HZB_URGENCY_NORMAL, 4, 2, 10);
+  job->spec->gang = job->spec->same_zone = TRUE;
+  hzb_dispatch_run (b.dispatch, hzb_clock_now (b.clock));
+  g_assert_cmpuint (job->placed, ==, 0); /* room for four, but not in one zone */
+  bench_machine (&b, "small", "zb", FALSE);
+  hzb_dispatch_run (b.dispatch, hzb_clock_now (b.clock));
+  g_assert_cmpuint (job->placed, ==, 4);
+  for (guint i = 0; i < 4; i++)
+    {
+      zb += g_str_equal (job->tasks[i].machine->zone, "zb");
+      g_assert_cmpuint (job->tasks[i].attempt, ==, job->tasks[0].attempt);
+    }
+  g_assert_cmpuint (zb, ==, 4);
+  bench_down (&b);
+}
+
+static void
+test_rentals (void)
+{
+  Bench b;
+  HzbFleet *fleet;
+  g_autoptr (GArray) rentals = NULL;
+  g_autoptr (GArray) again = NULL;
+  HzbJob *job;
+  bench_up (&b, 3);
+  fleet = hzb_fleet_new (b.jobs, b.machines, b.settings);
+  job = bench_job (&b, "red", HZB_URGENCY_NORMAL, 10, 2, 40);
+  job->spec->spot = FALSE;
+  job->spec->zone = g_strdup ("zb");
+  rentals = hzb_fleet_rentals (fleet, hzb_clock_now (b.clock));
+  g_assert_cmpuint (rentals->len, >=, 1);
+  for (guint i = 0; i < rentals->len; i++)
+    {
+      const HzbRental *r = &g_array_index (rentals, HzbRental, i);
+      g_assert_false (r->spot);
+      g_assert_cmpstr (r->zone, ==, "zb");
+      hzb_fleet_refused (fleet, r, hzb_clock_now (b.clock));
+    }
+  again = hzb_fleet_rentals (fleet, hzb_clock_now (b.clock));
+  for (guint i = 0; i < again->len; i++) /* a refusal is not asked again at once */
+    g_assert_true (g_array_index (again, HzbRental, i).type != g_array_index (rentals, HzbRental, 0).type);
+  hzb_fleet_free (fleet);
+  bench_down (&b);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/dispatch/rule-plain-model", test_rule);
+  g_test_add_func ("/dispatch/sampling", test_sampling);
+  g_test_add_func ("/dispatch/limit", test_limit);
+  g_test_add_func ("/dispatch/move-to-idle", test_move_to_idle);
+  g_test_add_func ("/dispatch/preemption", test_preemption);
+  g_test_add_func ("/dispatch/gang", test_gang);
+  g_test_add_func ("/fleet/rentals", test_rentals);
+  return g_test_run ();
+}
--- /dev/null
+++ b/tests/test-jobs.c
@@ -0,0 +1,170 @@
+#include "support.h"
+
+/* A change that is not foreseen is refused, changes nothing, and is logged. */
+static void
+test_illegal (void)
+{
+  Bench b;
+  HzbJob *job;
+  HzbMachine *m;
+  HzbTask *task;
+  bench_up (&b, 1);
+  m = bench_machine (&b, "big", "za", FALSE);
+  job = bench_job (&b, "red", HZB_URGENCY_NORMAL, 3, 2, 10);
+  task = hzb_job_next_pending (job, hzb_clock_now (b.clock));
+  g_test_expect_message ("hazelbank", G_LOG_LEVEL_CRITICAL, "*illegal change pending -> starting*");
+  g_assert_false (hzb_task_set_state (b.jobs, task, HZB_TASK_STARTING, m));
+  g_test_assert_expected_messages ();
+  g_assert_true (hzb_task_set_state (b.jobs, task, HZB_TASK_LISTED, m));
+  g_assert_true (hzb_task_set_state (b.jobs, task, HZB_TASK_STARTING, m));
+  g_assert_true (hzb_task_set_state (b.jobs, task, HZB_TASK_RUNNING, m));
+  g_test_expect_message ("hazelbank", G_LOG_LEVEL_CRITICAL, "*illegal change running -> listed*");
+  g_assert_false (hzb_task_set_state (b.jobs, task, HZB_TASK_LISTED, m));
+  g_test_assert_expected_messages ();
+  g_assert_true (hzb_task_set_state (b.jobs, task, HZB_TASK_FINISHED, NULL));
+  g_test_expect_message ("hazelbank", G_LOG_LEVEL_CRITICAL, "*illegal change finished -> pending*");
+  g_assert_false (hzb_task_set_state (b.jobs, task, HZB_TASK_PENDING, NULL));
+  g_test_assert_expected_messages ();
+  g_assert_true (hzb_task_set_state (b.jobs, task, HZB_TASK_DONE, NULL));
+  g_assert_cmpuint (job->done, ==, 1);
+  g_test_expect_message ("hazelbank", G_LOG_LEVEL_CRITICAL, "*illegal change active -> booting*");
+  g_assert_false (hzb_machine_set_state (b.machines, m, HZB_MACHINE_BOOTING, "test"));
+  g_test_assert_expected_messages ();
+  g_test_expect_message ("hazelbank", G_LOG_LEVEL_CRITICAL, "*illegal change active -> gone*");
+  g_assert_false (hzb_machine_set_state (b.machines, m, HZB_MACHINE_GONE, "only the cloud says so"));
+  g_test_assert_expected_messages ();
+  bench_down (&b);
+}
+
+/* Counters, a machine's room and a team's use against a plain count, over seeded legal walks. */
+static void
+test_books (void)
+{
+  for (guint32 seed = 1; seed <= 20; seed++)
+    {
+      Bench b;
+      HzbJob *job;
+      HzbMachine *m[3];
+      bench_up (&b, seed);
+      for (guint i = 0; i < 3; i++)
+        m[i] = bench_machine (&b, "big", i ? "za" : "zb", FALSE);
+      job = bench_job (&b, "red", HZB_URGENCY_NORMAL, 12, 1.5, 10);
+      for (guint step = 0; step < 400; step++)
+        {
+          HzbTask *task = &job->tasks[g_rand_int_range (b.rand, 0, 12)];
+          HzbTaskState to = (HzbTaskState) g_rand_int_range (b.rand, 0, HZB_TASK_N_STATES);
+          gboolean placed = to == HZB_TASK_LISTED || (to >= HZB_TASK_BOOKED && to <= HZB_TASK_SAVING);
+          guint counts[HZB_TASK_N_STATES] = { 0 };
+          double used = 0, room[3] = { 0 };
+          if (to == HZB_TASK_FINISHED && step % 8)
+            continue; /* seldom, or all would be over soon */
+          g_log_set_always_fatal (G_LOG_LEVEL_ERROR);
+          hzb_task_set_state (b.jobs, task, to, placed ? (task->machine && to != HZB_TASK_LISTED ? task->machine : m[step % 3]) : NULL);
+          for (guint i = 0; i < 12; i++)
+            {
+              const HzbTask *t = &job->tasks[i];
+              counts[t->state]++;
+              if (hzb_task_on_machine (t) || t->state == HZB_TASK_UNKNOWN)
+                used += 1.5;
+              for (guint k = 0; k < 3 && hzb_task_on_machine (t); k++)
+                if (t->machine == m[k])
+                  room[k] += 1.5;
+            }
+          g_assert_cmpuint (job->pending, ==, counts[HZB_TASK_PENDING]);
+          g_assert_cmpuint (job->listed, ==, counts[HZB_TASK_LISTED]);
+          g_assert_cmpuint (job->unknown, ==, counts[HZB_TASK_UNKNOWN]);
+          g_assert_cmpuint (job->running, ==, counts[HZB_TASK_RUNNING] + counts[HZB_TASK_SAVING]);
+          g_assert_cmpuint (job->done, ==, counts[HZB_TASK_DONE]);
+          g_assert_cmpuint (hzb_machine_listed (m[0]) + hzb_machine_listed (m[1]) + hzb_machine_listed (m[2]), ==, counts[HZB_TASK_LISTED]);
+          g_assert_cmpfloat_with_epsilon (b.block->cpus[0], used, 1e-9);
+          for (guint k = 0; k < 3; k++)
+            g_assert_cmpfloat_with_epsilon (m[k]->cpus, room[k], 1e-9);
+        }
+      bench_down (&b);
+    }
+}
+
+static void
+test_progress (void)
+{
+  Bench b, after;
+  HzbJob *job, *again;
+  cJSON *value;
+  bench_up (&b, 1);
+  bench_up (&after, 1);
+  job = bench_job (&b, "red", HZB_URGENCY_NORMAL, 50, 1, 10);
+  job->releasing = 40;
+  for (guint i = 0; i < 50; i += 7)
+    {
+      hzb_task_set_state (b.jobs, &job->tasks[i], HZB_TASK_UNKNOWN, NULL);
+      hzb_task_set_state (b.jobs, &job->tasks[i], HZB_TASK_FINISHED, NULL);
+    }
+  value = hzb_job_pack_progress (job, 0);
+  again = bench_job (&after, "red", HZB_URGENCY_NORMAL, 50, 1, 10);
+  again->released = again->releasing = 0;
+  hzb_job_read_progress (after.jobs, again, 0, value);
+  g_assert_cmpuint (again->done, ==, 8);
+  /* What may have been started counts against the team until it is found or ruled out. */
+  g_assert_cmpuint (again->unknown, ==, 34);
+  g_assert_cmpuint (again->pending, ==, 8);
+  g_assert_cmpfloat (after.block->cpus[0], ==, 34);
+  hzb_jobs_resolve_unknown (after.jobs);
+  g_assert_cmpuint (again->unknown, ==, 0);
+  g_assert_cmpfloat (after.block->cpus[0], ==, 0);
+  cJSON_Delete (value);
+  bench_down (&b);
+  bench_down (&after);
+}
+
+/* The largest job's progress fits the smallest value size of the settings, chunk by chunk. */
+static void
+test_large_job (void)
+{
+  Bench b;
+  HzbJob *job;
+  bench_up (&b, 1);
+  job = bench_job (&b, "red", HZB_URGENCY_NORMAL, HZB_MAX_TASKS, 1, 10);
+  for (guint i = 0; i < job->n_tasks; i++)
+    {
+      hzb_task_set_state (b.jobs, &job->tasks[i], HZB_TASK_UNKNOWN, NULL);
+      hzb_task_set_state (b.jobs, &job->tasks[i], HZB_TASK_FINISHED, NULL);
+    }
+  g_assert_cmpuint (hzb_job_chunks (job), ==, 4);
+  for (guint k = 0; k < 4; k++)
+    {
+      cJSON *value = hzb_job_pack_progress (job, k);
+      g_autofree char *text = cJSON_PrintUnformatted (value);
+      g_assert_cmpuint (strlen (text), <, 8 * 1024);
+      cJSON_Delete (value);
+    }
+  bench_down (&b);
+}
+
+/* An older record, as a late answer may bring it, changes nothing. */
+static void
+test_old_record (void)
+{
+  Bench b;
+  HzbJob *job;
+  cJSON *value = hzb_jobs_pack_final (HZB_JOB_CANCELLED, 3);
+  bench_up (&b, 1);
+  job = bench_job (&b, "red", HZB_URGENCY_NORMAL, 3, 1, 10);
+  hzb_jobs_apply (b.jobs, job->uid, value, job->version);
+  g_assert_cmpint (job->state, ==, HZB_JOB_ACCEPTED);
+  hzb_jobs_apply (b.jobs, job->uid, value, job->version + 1);
+  g_assert_cmpint (job->state, ==, HZB_JOB_CANCELLED);
+  cJSON_Delete (value);
+  bench_down (&b);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/jobs/illegal-changes", test_illegal);
+  g_test_add_func ("/jobs/books", test_books);
+  g_test_add_func ("/jobs/progress", test_progress);
+  g_test_add_func ("/jobs/large", test_large_job);
+  g_test_add_func ("/jobs/old-record", test_old_record);
+  return g_test_run ();
+}
--- /dev/null
+++ b/tests/test-wire.c
@@ -0,0 +1,153 @@
+#include "support.h"
+#include "wire.h"
+
+static const char good[] =
+    "{\"uid\":\"run-000412\",\"lane\":\"train\",\"owner\":\"red\",\"shape\":\"ensemble\",\"urgency\":\"urgent\",\"pieces\":16,"
+    "\"cpus\":8.0,\"gpus\":1.0,\"ramGb\":64.0,\"bundle\":\"img-07\",\"sizeGb\":6.2,\"flavors\":[\"g8\"],\"yard\":null,"
+    "\"samePlace\":true,\"spread\":false,\"loaners\":true,\"expectS\":240.0,\"snapshotEveryS\":30.0,\"snapshotS\":4.0,"
+    "\"dueS\":900.0,\"unheardOf\":{}}";
+
+static gboolean
+accepted_with (const char *field, const char *value)
+{
+  cJSON *root = cJSON_Parse (good);
+  g_autofree char *text = NULL;
+  g_autoptr (HzbSpec) spec = NULL;
+  cJSON_DeleteItemFromObject (root, field);
+  if (value)
+    cJSON_AddRawToObject (root, field, value);
+  text = cJSON_PrintUnformatted (root);
+  cJSON_Delete (root);
+  spec = hzb_wire_parse_job (text, strlen (text), NULL);
+  return spec != NULL;
+}
+
+static void
+test_job_table (void)
+{
+  static const struct
+  {
+    const char *field, *value;
+    gboolean ok;
+  } table[] = {
+    { "uid", NULL, FALSE },          { "uid", "\"run-12\"", FALSE },      { "uid", "\"job-000412\"", FALSE },
+    { "uid", "\"run-00041x\"", FALSE }, { "uid", "412", FALSE },          { "uid", "\"run-000413\"", TRUE },
+    { "lane", NULL, FALSE },         { "lane", "\"\"", FALSE },           { "owner", "7", FALSE },
+    { "shape", "\"array\"", FALSE }, { "shape", "\"sweep\"", TRUE },      { "shape", "\"standing\"", TRUE },      { "urgency", "\"high\"", FALSE },
+    { "urgency", "\"idle\"", TRUE }, { "pieces", "0", FALSE },            { "pieces", "-1", FALSE },
+    { "pieces", "1.5", FALSE },      { "pieces", "100000", TRUE },        { "pieces", "100001", FALSE },
+    { "pieces", "\"4\"", FALSE },    { "cpus", "-0.5", FALSE },           { "cpus", "null", FALSE },
+    { "cpus", "0.5", TRUE },         { "ramGb", NULL, FALSE },            { "bundle", "[]", FALSE },
+    { "sizeGb", "-1", FALSE },       { "flavors", "\"g8\"", FALSE },      { "flavors", "[1]", FALSE },
+    { "flavors", NULL, TRUE },       { "flavors", "null", TRUE },         { "yard", "3", FALSE },
+    { "yard", NULL, TRUE },          { "samePlace", "1", FALSE },         { "spread", NULL, FALSE },
+    { "loaners", "\"yes\"", FALSE }, { "expectS", "0", FALSE },           { "expectS", "1e400", FALSE },
+    { "snapshotEveryS", "0", TRUE }, { "snapshotS", "-1", FALSE },        { "dueS", "null", TRUE },
+    { "dueS", "0", FALSE },          { "dueS", "\"soon\"", FALSE },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (table); i++)
+    if (accepted_with (table[i].field, table[i].value) != table[i].ok)
+      g_error ("%s = %s should be %s", table[i].field, table[i].value, table[i].ok ? "taken" : "refused");
+}
+
+static void
+test_job_bodies (void)
+{
+  static const char *const bad[] = { "", "null", "[]", "\"x\"", "{", "{}", "{\"uid\":", "\xff\xfe" };
+  g_autofree char *large = g_strnfill (HZB_MAX_BODY + 1, ' ');
+  for (guint i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      g_autoptr (GError) error = NULL;
+      g_assert_null (hzb_wire_parse_job (bad[i], strlen (bad[i]), &error));
+      g_assert_error (error, HZB_WIRE_ERROR, 400);
+    }
+  g_assert_null (hzb_wire_parse_job (large, strlen (large), NULL));
+  /* Every way to cut a good one short is refused and harmless. */
+  for (gsize n = 0; n + 1 < sizeof good; n++)
+    {
+      g_autofree char *part = g_strndup (good, n);
+      g_assert_null (hzb_wire_parse_job (part, n, NULL));
+    }
+}
+
+static void
+test_durable_form (void)
+{
+  g_autoptr (HzbSpec) spec = hzb_wire_parse_job (good, strlen (good), NULL);
+  cJSON *packed = hzb_wire_pack_spec (spec);
+  g_autoptr (HzbSpec) back = hzb_wire_unpack_spec ("run-000412", packed);
+  g_assert_nonnull (back);
+  g_assert_cmpuint (back->tasks, ==, 16);
+  g_assert_true (back->gang && back->same_zone && back->spot && !back->spread);
+  g_assert_cmpfloat (back->image_gb, ==, 6.2);
+  g_assert_cmpfloat (back->deadline_s, ==, 900);
+  g_assert_cmpstr (back->types[0], ==, "g8");
+  g_assert_null (back->zone);
+  g_assert_null (hzb_wire_unpack_spec ("run-000413", packed));
+  cJSON_Delete (packed);
+}
+
+static void
+test_report (void)
+{
+  static const char text[] =
+      "{\"host\":\"i-1\",\"addr\":\"10.1.0.1:9000\",\"flavor\":\"g8\",\"yard\":\"a\",\"loaners\":true,\"tenure\":2,"
+      "\"tick\":9007199254740991,\"baton\":41,\"reclaimInS\":null,\"pieces\":[{\"piece\":\"run-000412/3\",\"try\":4294967296,"
+      "\"status\":\"running\"},{\"piece\":\"odd\",\"status\":\"running\"},{\"piece\":\"run-000398/0\",\"try\":1,"
+      "\"status\":\"ended\",\"cause\":\"done\",\"stored\":true},{\"piece\":\"run-1/99999999999\",\"status\":\"running\"}]}";
+  g_autoptr (HzbReport) report = hzb_wire_parse_report (text, strlen (text), NULL);
+  HzbPiece *piece;
+  g_assert_nonnull (report);
+  g_assert_cmpuint (report->pieces->len, ==, 2); /* what makes no sense is left out */
+  g_assert_cmpuint (report->seq, ==, G_GUINT64_CONSTANT (9007199254740991));
+  g_assert_cmpfloat (report->notice_s, <, 0);
+  piece = &g_array_index (report->pieces, HzbPiece, 0);
+  g_assert_cmpuint (piece->attempt, ==, G_GUINT64_CONSTANT (4294967296));
+  piece = &g_array_index (report->pieces, HzbPiece, 1);
+  g_assert_true (piece->state == HZB_PIECE_EXITED && piece->why == HZB_WHY_DONE && piece->saved);
+  g_assert_null (hzb_wire_parse_report ("{}", 2, NULL));
+  g_assert_null (hzb_wire_parse_report ("x", 1, NULL));
+}
+
+static void
+test_large_numbers (void)
+{
+  g_autofree char *text = hzb_wire_orders (G_GUINT64_CONSTANT (18446744073709551615), NULL);
+  g_assert_cmpstr (text, ==, "{\"baton\":18446744073709551615,\"orders\":[]}");
+}
+
+static void
+test_settings_faults (void)
+{
+  g_autoptr (GError) error = NULL;
+  g_assert_null (hzb_settings_parse ("node = 3\napi_addr = \"nowhere\"\n[cluster]\nsize = 0\n", "x", &error));
+  g_assert_nonnull (strstr (error->message, "node: expected a text"));
+  g_assert_nonnull (strstr (error->message, "api_addr: expected an address"));
+  g_assert_nonnull (strstr (error->message, "cluster.size: expected a number of at least 1"));
+  g_assert_nonnull (strstr (error->message, "cluster.teams: expected at least one team"));
+  g_clear_error (&error);
+  g_assert_null (hzb_settings_parse ("node = \"a\"\nnode = ", "x.toml", &error));
+  g_assert_nonnull (strstr (error->message, "x.toml:2"));
+}
+
+static void
+test_unknown_fields (void)
+{
+  g_autoptr (HzbSettings) s = test_settings (); /* has a field that nobody knows */
+  g_assert_cmpint (hzb_settings_team (s, "blue"), ==, 1);
+  g_assert_cmpint (hzb_settings_team (s, "green"), ==, -1);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/wire/job-table", test_job_table);
+  g_test_add_func ("/wire/job-bodies", test_job_bodies);
+  g_test_add_func ("/wire/durable-form", test_durable_form);
+  g_test_add_func ("/wire/report", test_report);
+  g_test_add_func ("/wire/large-numbers", test_large_numbers);
+  g_test_add_func ("/settings/faults", test_settings_faults);
+  g_test_add_func ("/settings/unknown-fields", test_unknown_fields);
+  return g_test_run ();
+}
--- /dev/null
+++ b/tests/test-world.c
@@ -0,0 +1,314 @@
+/* Seeded schedules of failures through the real controllers, with the rules checked after every step. */
+#include "world.h"
+
+#include <string.h>
+
+static void
+expect_no_fault (World *w, const char *what, guint32 seed)
+{
+  for (guint i = 0; i < w->broken->len && i < 5; i++)
+    g_test_message ("%s", (char *) w->broken->pdata[i]);
+  if (w->broken->len)
+    g_error ("%s, seed %u: %s", what, seed, (char *) w->broken->pdata[0]);
+}
+
+static void
+expect_all_over (World *w, const char *what, guint32 seed)
+{
+  expect_no_fault (w, what, seed);
+  for (guint i = 0; i < w->jobs->len; i++)
+    {
+      const WorldJob *job = w->jobs->pdata[i];
+      if (!job->told_done && !job->told_cancelled && !job->bad)
+        g_error ("%s, seed %u: %s is not over", what, seed, job->uid);
+    }
+}
+
+static void
+some_jobs (World *w)
+{
+  static const char *const teams[] = { "red", "blue" };
+  for (guint i = 0; i < 10; i++)
+    {
+      WorldJob *job = world_add_job (w, 1 + i * 4, teams[i % 2], (guint) g_rand_int_range (w->rand, 1, 14),
+                                     g_rand_int_range (w->rand, 1, 4), g_rand_double_range (w->rand, 2, 10));
+      job->wants_cancel = i % 4 == 3;
+      job->spot = i % 3 != 0;
+      job->zone = i % 5 == 0 ? "zb" : NULL;
+      job->type = i % 7 == 0 ? "big" : NULL;
+    }
+}
+
+static void
+test_quiet (void)
+{
+  World *w = world_new (1);
+  some_jobs (w);
+  world_run (w, 150);
+  expect_all_over (w, "quiet", 1);
+  g_assert_cmpuint (w->ran, >, 20);
+  world_free (w);
+}
+
+static void
+crash_one (World *w, gpointer data)
+{
+  int leader = world_leader (w);
+  guint at = leader >= 0 && g_rand_boolean (w->rand) ? (guint) leader : (guint) g_rand_int_range (w->rand, 0, WORLD_NODES);
+  world_crash (w, at);
+  if (g_rand_boolean (w->rand))
+    world_start (w, at); /* within a fraction of a second */
+}
+
+static void
+start_all (World *w, gpointer data)
+{
+  for (guint i = 0; i < WORLD_NODES; i++)
+    if (!w->nodes[i].c)
+      world_start (w, i);
+}
+
+static void
+crash_all (World *w, gpointer data)
+{
+  for (guint i = 0; i < WORLD_NODES; i++)
+    world_crash (w, i);
+  world_at (w, w->now + g_rand_double_range (w->rand, 0.2, 6), start_all, NULL);
+}
+
+static void
+flip_outage (World *w, gpointer data)
+{
+  w->outage = !w->outage;
+}
+
+static void
+cut_leader (World *w, gpointer data)
+{
+  int leader = world_leader (w);
+  Node *node = &w->nodes[MAX (leader, 0)];
+  switch (g_rand_int_range (w->rand, 0, 4))
+    {
+    case 0:
+      node->cut_store = TRUE;
+      break;
+    case 1:
+      node->refused = TRUE;
+      break;
+    case 2:
+      node->cut_workers = TRUE;
+      break;
+    default:
+      node->cut_store = node->cut_peers = TRUE;
+      break;
+    }
+}
+
+static void
+heal (World *w, gpointer data)
+{
+  for (guint i = 0; i < WORLD_NODES; i++)
+    w->nodes[i].cut_store = w->nodes[i].refused = w->nodes[i].cut_workers = w->nodes[i].cut_peers = FALSE;
+}
+
+static void
+hurt_machine (World *w, gpointer data)
+{
+  WorldMachine *m;
+  if (!w->machines->len)
+    return;
+  m = w->machines->pdata[g_rand_int_range (w->rand, 0, (gint32) w->machines->len)];
+  switch (g_rand_int_range (w->rand, 0, 4))
+    {
+    case 0:
+      m->cut = !m->cut;
+      break;
+    case 1:
+      m->hung = !m->hung;
+      break;
+    case 2:
+      m->sick = !m->sick;
+      break;
+    default:
+      m->failed = TRUE; /* stopped with all that was on it */
+      g_ptr_array_set_size (m->tasks, 0);
+      break;
+    }
+}
+
+static void
+surprise (World *w, gpointer data)
+{
+  world_add_machine (w, "big", "za", FALSE, 0.5);
+}
+
+static void
+test_failures (void)
+{
+  for (guint32 seed = 1; seed <= 24; seed++)
+    {
+      World *w = world_new (seed);
+      some_jobs (w);
+      w->lose = seed % 3 ? 0.02 : 0;
+      w->late = seed % 2 ? 0.02 : 0;
+      w->boot_never = TRUE;
+      for (guint i = 0; i < 4; i++)
+        {
+          world_at (w, g_rand_double_range (w->rand, 5, 60), crash_one, NULL);
+          world_at (w, g_rand_double_range (w->rand, 5, 60), hurt_machine, NULL);
+          world_at (w, g_rand_double_range (w->rand, 5, 60), hurt_machine, NULL);
+          world_at (w, g_rand_double_range (w->rand, 10, 80), start_all, NULL);
+        }
+      world_at (w, g_rand_double_range (w->rand, 5, 50), surprise, NULL);
+      if (seed % 4 == 0)
+        world_at (w, g_rand_double_range (w->rand, 10, 50), crash_all, NULL);
+      if (seed % 2)
+        {
+          double at = g_rand_double_range (w->rand, 10, 50);
+          world_at (w, at, flip_outage, NULL);
+          world_at (w, at + g_rand_double_range (w->rand, 1, 15), flip_outage, NULL);
+        }
+      if (seed % 3 == 1)
+        {
+          double at = g_rand_double_range (w->rand, 10, 50);
+          world_at (w, at, cut_leader, NULL);
+          world_at (w, at + g_rand_double_range (w->rand, 2, 25), heal, NULL);
+        }
+      world_at (w, 85, start_all, NULL);
+      world_at (w, 85, heal, NULL);
+      world_run (w, 100);
+      w->lose = w->late = 0;
+      world_run (w, 330);
+      expect_all_over (w, "failures", seed);
+      world_free (w);
+    }
+}
+
+/* A machine that an earlier holder used stays silent towards the new one: its tasks start nowhere else until the
+ * cloud has confirmed its return, although other machines are free. */
+static void
+test_silent_machine (void)
+{
+  World *w = world_new (5);
+  WorldJob *job = world_add_job (w, 1, "red", 4, 2, 60);
+  WorldMachine *m = NULL;
+  int leader;
+  world_run (w, 20);
+  for (guint i = 0; i < w->machines->len && !m; i++)
+    if (((WorldMachine *) w->machines->pdata[i])->tasks->len)
+      m = w->machines->pdata[i];
+  g_assert_nonnull (m);
+  g_assert_false (job->told_done);
+  leader = world_leader (w);
+  m->cut = TRUE;
+  world_crash (w, (guint) leader);
+  world_run (w, 29);
+  g_assert_cmpint (world_leader (w), !=, -1);
+  g_assert_false (m->gone);
+  world_run (w, 45);
+  g_assert_true (m->gone);
+  world_start (w, (guint) leader);
+  world_run (w, 250);
+  expect_all_over (w, "silent machine", 5);
+  world_free (w);
+}
+
+/* A quick restart of the leader is a new incarnation: it ends the old lease and leads with a higher term. */
+static void
+test_quick_restart (void)
+{
+  World *w = world_new (6);
+  int leader;
+  guint64 term;
+  world_add_job (w, 1, "red", 6, 2, 40);
+  world_run (w, 15);
+  leader = world_leader (w);
+  term = hzb_election_term (w->nodes[leader].c->election);
+  world_crash (w, (guint) leader);
+  world_start (w, (guint) leader);
+  world_run (w, 18);
+  g_assert_cmpint (world_leader (w), !=, -1);
+  g_assert_cmpuint (hzb_election_term (w->nodes[world_leader (w)].c->election), >, term);
+  world_run (w, 150);
+  expect_all_over (w, "quick restart", 6);
+  world_free (w);
+}
+
+/* While the state service is away, workers' leases live and running tasks are kept. */
+static void
+test_outage_keeps_tasks (void)
+{
+  World *w = world_new (8);
+  guint started;
+  world_add_job (w, 1, "red", 6, 2, 60);
+  world_run (w, 20);
+  started = w->started;
+  g_assert_cmpuint (started, >=, 6);
+  w->outage = TRUE;
+  world_run (w, 45);
+  w->outage = FALSE;
+  world_run (w, 200);
+  g_assert_cmpuint (w->started, ==, started);
+  expect_all_over (w, "outage", 8);
+  world_free (w);
+}
+
+/* A job that fails wherever it starts is tried ever more slowly, and others go on. */
+static void
+test_bad_job (void)
+{
+  World *w = world_new (9);
+  WorldJob *bad = world_add_job (w, 1, "red", 10, 1, 5), *good;
+  bad->bad = TRUE;
+  good = world_add_job (w, 5, "blue", 10, 2, 5);
+  world_run (w, 120);
+  g_assert_true (good->told_done);
+  g_assert_cmpuint (w->started, <, 120);
+  expect_no_fault (w, "bad job", 9);
+  world_free (w);
+}
+
+/* The checks themselves: each can fail. */
+static void
+test_checks_can_fail (void)
+{
+  World *w = world_new (10);
+  WorldJob *job = world_add_job (w, 1e6, "red", 30, 2, 50);
+  WorldMachine *a = world_add_machine (w, "big", "za", FALSE, 1e6), *b = world_add_machine (w, "big", "za", FALSE, 1e6);
+  world_put_task (w, a, job, 0, 1)->state = 2;
+  world_check (w);
+  g_assert_cmpuint (w->broken->len, ==, 0);
+  world_put_task (w, b, job, 0, 2)->state = 2;
+  world_check (w);
+  g_assert_true (g_str_has_prefix (w->broken->pdata[0], "ran_twice"));
+  g_ptr_array_set_size (w->broken, 0);
+  g_ptr_array_set_size (b->tasks, 0);
+  for (guint i = 1; i < 13; i++)
+    world_put_task (w, a, job, i, 1)->state = 2;
+  world_check (w);
+  g_assert_true (g_str_has_prefix (w->broken->pdata[0], "quota"));
+  g_ptr_array_set_size (w->broken, 0);
+  g_ptr_array_set_size (a->tasks, 1);
+  job->told_cancelled = TRUE;
+  world_check (w);
+  g_assert_cmpuint (w->broken->len, ==, 0);
+  job->cancelled_at = -31;
+  world_check (w);
+  g_assert_true (g_str_has_prefix (w->broken->pdata[0], "ran_cancelled"));
+  world_free (w);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_log_set_always_fatal (G_LOG_LEVEL_ERROR);
+  g_test_add_func ("/world/checks-can-fail", test_checks_can_fail);
+  g_test_add_func ("/world/quiet", test_quiet);
+  g_test_add_func ("/world/failures", test_failures);
+  g_test_add_func ("/world/silent-machine", test_silent_machine);
+  g_test_add_func ("/world/quick-restart", test_quick_restart);
+  g_test_add_func ("/world/outage-keeps-tasks", test_outage_keeps_tasks);
+  g_test_add_func ("/world/bad-job", test_bad_job);
+  return g_test_run ();
+}
--- /dev/null
+++ b/tests/world.c
@@ -0,0 +1,1232 @@
+#include "world.h"
+
+#include <math.h>
+#include <string.h>
+
+#define LEASE_S 10.0
+#define REPORT_S 1.5
+#define CANCEL_S 30.0
+#define TEAM_MAX 24.0
+
+/* ---- events ---- */
+
+typedef struct
+{
+  double at;
+  guint64 number;
+  void (*run) (World *w, gpointer data);
+  gpointer data;
+} Event;
+
+static gint
+compare_events (gconstpointer a, gconstpointer b, gpointer user)
+{
+  const Event *x = a, *y = b;
+  return x->at < y->at ? -1 : x->at > y->at ? 1 : x->number < y->number ? -1 : x->number > y->number;
+}
+
+void
+world_at (World *w, double at, void (*run) (World *w, gpointer data), gpointer data)
+{
+  Event *e = g_new0 (Event, 1);
+  e->at = MAX (at, w->now);
+  e->number = w->event_number++;
+  e->run = run;
+  e->data = data;
+  g_sequence_insert_sorted (w->events, e, compare_events, NULL);
+}
+
+void
+world_run (World *w, double until)
+{
+  while (!g_sequence_is_empty (w->events))
+    {
+      GSequenceIter *first = g_sequence_get_begin_iter (w->events);
+      Event e = *(Event *) g_sequence_get (first);
+      if (e.at > until)
+        break;
+      g_sequence_remove (first);
+      hzb_clock_advance (w->clock, e.at - w->now);
+      w->now = e.at;
+      e.run (w, e.data);
+      world_check (w);
+    }
+  hzb_clock_advance (w->clock, until - w->now);
+  w->now = until;
+}
+
+static void
+broken (World *w, const char *rule, const char *format, ...)
+{
+  va_list args;
+  g_autofree char *text = NULL;
+  va_start (args, format);
+  text = g_strdup_vprintf (format, args);
+  va_end (args);
+  g_ptr_array_add (w->broken, g_strdup_printf ("%s at %.2f: %s", rule, w->now, text));
+}
+
+static gboolean
+chance (World *w, double p)
+{
+  return g_rand_double (w->rand) < p;
+}
+
+static WorldJob *
+find_job (World *w, const char *uid)
+{
+  for (guint i = 0; i < w->jobs->len; i++)
+    if (g_str_equal (((WorldJob *) w->jobs->pdata[i])->uid, uid))
+      return w->jobs->pdata[i];
+  return NULL;
+}
+
+/* ---- state service ---- */
+
+typedef struct
+{
+  char *text;
+  guint64 version, lease;
+} Value;
+
+typedef struct
+{
+  char *key, *text; /* text NULL: removed */
+  guint64 version;
+} Change;
+
+static void
+value_free (gpointer data)
+{
+  g_free (((Value *) data)->text);
+  g_free (data);
+}
+
+static void
+change_free (gpointer data)
+{
+  g_free (((Change *) data)->key);
+  g_free (((Change *) data)->text);
+  g_free (data);
+}
+
+typedef struct _Call Call;
+static void answer (World *w, Call *call, guint status, char *body);
+
+typedef struct
+{
+  Call *call;
+  char *prefix;
+  guint64 after;
+  double until;
+} Watcher;
+
+static char *
+watch_body (World *w, const char *prefix, guint64 after, gboolean *any)
+{
+  cJSON *root = cJSON_CreateObject (), *list;
+  char *text;
+  hzb_json_add_u64 (root, "epoch", w->revision);
+  list = cJSON_AddArrayToObject (root, "news");
+  *any = FALSE;
+  for (guint i = 0; i < w->history->len; i++)
+    {
+      const Change *change = w->history->pdata[i];
+      cJSON *item;
+      if (change->version <= after || !g_str_has_prefix (change->key, prefix))
+        continue;
+      item = cJSON_CreateObject ();
+      cJSON_AddStringToObject (item, change->text ? "put" : "remove", change->key);
+      if (change->text)
+        cJSON_AddRawToObject (item, "value", change->text);
+      hzb_json_add_u64 (item, "stamp", change->version);
+      cJSON_AddItemToArray (list, item);
+      *any = TRUE;
+    }
+  text = cJSON_PrintUnformatted (root);
+  cJSON_Delete (root);
+  return text;
+}
+
+static void
+wake_watchers (World *w)
+{
+  for (guint i = 0; i < w->watchers->len; i++)
+    {
+      Watcher *watcher = w->watchers->pdata[i];
+      gboolean any;
+      char *body;
+      if (w->outage)
+        return;
+      body = watch_body (w, watcher->prefix, watcher->after, &any);
+      if (any || w->now >= watcher->until)
+        {
+          answer (w, watcher->call, 200, body);
+          g_free (watcher->prefix);
+          g_free (watcher);
+          g_ptr_array_remove_index (w->watchers, i--);
+        }
+      else
+        g_free (body);
+    }
+}
+
+static void
+watch_over (World *w, gpointer data)
+{
+  wake_watchers (w);
+}
+
+static void
+record (World *w, const char *key, const char *text, guint64 lease)
+{
+  Change *change = g_new0 (Change, 1);
+  change->key = g_strdup (key);
+  change->text = g_strdup (text);
+  change->version = w->revision;
+  g_ptr_array_add (w->history, change);
+  if (text)
+    {
+      Value *value = g_new0 (Value, 1);
+      value->text = g_strdup (text);
+      value->version = w->revision;
+      value->lease = lease;
+      g_hash_table_insert (w->kv, g_strdup (key), value);
+    }
+  else
+    g_hash_table_remove (w->kv, key);
+}
+
+static void
+end_lease (World *w, guint64 lease)
+{
+  g_autoptr (GPtrArray) keys = g_ptr_array_new_with_free_func (g_free);
+  GHashTableIter iter;
+  gpointer key, value;
+  g_hash_table_remove (w->leases, GSIZE_TO_POINTER (lease));
+  g_hash_table_iter_init (&iter, w->kv);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    if (((Value *) value)->lease == lease)
+      g_ptr_array_add (keys, g_strdup (key));
+  for (guint i = 0; i < keys->len; i++)
+    {
+      w->revision++;
+      record (w, keys->pdata[i], NULL, 0);
+    }
+  wake_watchers (w);
+}
+
+typedef struct
+{
+  double until, ttl;
+} Lease;
+
+static void
+lease_tick (World *w, gpointer data)
+{
+  guint64 id = GPOINTER_TO_SIZE (data);
+  Lease *lease = g_hash_table_lookup (w->leases, data);
+  if (!lease)
+    return;
+  if (w->outage)
+    lease->until = w->now + lease->ttl; /* every lease has its full time again */
+  if (w->now >= lease->until)
+    end_lease (w, id);
+  else
+    world_at (w, w->outage ? w->now + 0.1 : lease->until + 0.05, lease_tick, data);
+}
+
+static guint
+store_txn (World *w, const char *body, char **out)
+{
+  cJSON *txn = cJSON_Parse (body), *root = cJSON_CreateObject (), *failed = cJSON_CreateArray ();
+  const cJSON *item;
+  guint status = 200;
+  cJSON_ArrayForEach (item, cJSON_GetObjectItem (txn, "when"))
+    {
+      const Value *value = g_hash_table_lookup (w->kv, hzb_json_text (item, "path"));
+      if ((value ? value->version : 0) != hzb_json_u64 (item, "stamp"))
+        cJSON_AddItemToArray (failed, cJSON_CreateString (hzb_json_text (item, "path")));
+    }
+  cJSON_ArrayForEach (item, cJSON_GetObjectItem (txn, "then"))
+    {
+      guint64 lease = hzb_json_u64 (item, "permit");
+      if (lease && !g_hash_table_contains (w->leases, GSIZE_TO_POINTER (lease)))
+        status = 400;
+    }
+  if (status == 200 && cJSON_GetArraySize (failed))
+    status = 409;
+  if (status == 200 && cJSON_GetArraySize (cJSON_GetObjectItem (txn, "then")))
+    {
+      w->revision++;
+      cJSON_ArrayForEach (item, cJSON_GetObjectItem (txn, "then"))
+        if (hzb_json_text (item, "put"))
+          {
+            char *text = cJSON_PrintUnformatted (cJSON_GetObjectItem (item, "value"));
+            record (w, hzb_json_text (item, "put"), text, hzb_json_u64 (item, "permit"));
+            cJSON_free (text);
+          }
+        else if (g_hash_table_contains (w->kv, hzb_json_text (item, "remove")))
+          record (w, hzb_json_text (item, "remove"), NULL, 0);
+    }
+  cJSON_AddItemToObject (root, "failed", failed);
+  hzb_json_add_u64 (root, "epoch", w->revision);
+  *out = cJSON_PrintUnformatted (root);
+  cJSON_Delete (root);
+  cJSON_Delete (txn);
+  wake_watchers (w);
+  return status;
+}
+
+static char *
+query (const char *path, const char *name)
+{
+  g_autofree char *mark = g_strconcat (name, "=", NULL);
+  const char *at = strstr (path, mark);
+  const char *end;
+  if (!at)
+    return NULL;
+  at += strlen (mark);
+  end = strchr (at, '&');
+  return end ? g_strndup (at, (gsize) (end - at)) : g_strdup (at);
+}
+
+static gint
+compare_keys (gconstpointer a, gconstpointer b)
+{
+  return strcmp (*(char *const *) a, *(char *const *) b);
+}
+
+static char *
+store_range (World *w, const char *path)
+{
+  g_autofree char *prefix = query (path, "starts"), *after = query (path, "since");
+  g_autoptr (GPtrArray) keys = g_ptr_array_new ();
+  cJSON *root = cJSON_CreateObject (), *rows = cJSON_AddArrayToObject (root, "rows");
+  GHashTableIter iter;
+  gpointer key;
+  gboolean more = FALSE;
+  char *text;
+  g_hash_table_iter_init (&iter, w->kv);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    if (g_str_has_prefix (key, prefix) && (!after || strcmp (key, after) > 0))
+      g_ptr_array_add (keys, key);
+  g_ptr_array_sort (keys, compare_keys);
+  for (guint i = 0; i < keys->len; i++)
+    {
+      const Value *value = g_hash_table_lookup (w->kv, keys->pdata[i]);
+      cJSON *row;
+      if (i == 5) /* small pages, so that reading on is tried */
+        {
+          more = TRUE;
+          break;
+        }
+      row = cJSON_CreateObject ();
+      cJSON_AddStringToObject (row, "path", keys->pdata[i]);
+      cJSON_AddRawToObject (row, "value", value->text);
+      hzb_json_add_u64 (row, "stamp", value->version);
+      cJSON_AddItemToArray (rows, row);
+    }
+  cJSON_AddBoolToObject (root, "hasNext", more);
+  hzb_json_add_u64 (root, "epoch", w->revision);
+  text = cJSON_PrintUnformatted (root);
+  cJSON_Delete (root);
+  return text;
+}
+
+static char *
+store_item (World *w, const char *key)
+{
+  const Value *value = g_hash_table_lookup (w->kv, key);
+  cJSON *root;
+  char *text;
+  if (!value)
+    return NULL;
+  root = cJSON_CreateObject ();
+  cJSON_AddStringToObject (root, "path", key);
+  cJSON_AddRawToObject (root, "value", value->text);
+  hzb_json_add_u64 (root, "stamp", value->version);
+  text = cJSON_PrintUnformatted (root);
+  cJSON_Delete (root);
+  return text;
+}
+
+/* ---- calls between hosts ---- */
+
+struct _Call
+{
+  guint node, life;
+  char *method, *addr, *path, *body;
+  HzbReplyFunc done;
+  gpointer user;
+  gboolean over;
+  guint refs;
+  guint status;
+  char *reply;
+};
+
+static void
+call_unref (Call *call)
+{
+  if (--call->refs)
+    return;
+  g_free (call->method);
+  g_free (call->addr);
+  g_free (call->path);
+  g_free (call->body);
+  g_free (call->reply);
+  g_free (call);
+}
+
+static void
+call_finish (World *w, Call *call, guint status, const char *body)
+{
+  Node *node = &w->nodes[call->node];
+  if (call->over)
+    return;
+  call->over = TRUE;
+  if (node->c && node->life == call->life)
+    call->done (status, body ? body : "", body ? strlen (body) : 0, call->user);
+}
+
+static void
+on_timeout (World *w, gpointer data)
+{
+  call_finish (w, data, 0, NULL);
+  call_unref (data);
+}
+
+static void
+on_answer (World *w, gpointer data)
+{
+  Call *call = data;
+  call_finish (w, call, call->status, call->reply);
+  call_unref (call);
+}
+
+static double
+delay (World *w)
+{
+  return g_rand_double_range (w->rand, 0.001, 0.01);
+}
+
+static gboolean
+is_cut (World *w, const Call *call)
+{
+  const Node *node = &w->nodes[call->node];
+  gboolean store = g_str_equal (call->addr, "10.9.0.1:1"), cloud = g_str_equal (call->addr, "10.9.0.2:1");
+  if (store)
+    return node->cut_store;
+  if (cloud)
+    return FALSE;
+  return node->cut_peers || w->nodes[call->addr[7] - '1'].cut_peers;
+}
+
+/* Takes body and the call's part of the way back. */
+static void
+answer (World *w, Call *call, guint status, char *body)
+{
+  call->status = status;
+  call->reply = body;
+  if (chance (w, w->lose) || is_cut (w, call))
+    call_unref (call);
+  else
+    world_at (w, w->now + delay (w), on_answer, call);
+}
+
+static void cloud_request (World *w, Call *call);
+
+static void
+peer_reply (HzbExchange *exchange, guint status, const char *body, guint retry)
+{
+  gpointer *pair = exchange->impl;
+  answer (pair[0], pair[1], status, g_strdup (body));
+  g_free (pair);
+}
+
+static void
+on_arrival (World *w, gpointer data)
+{
+  Call *call = data;
+  char *body = NULL;
+  if (g_str_equal (call->addr, "10.9.0.1:1"))
+    {
+      if (w->outage || w->nodes[call->node].refused)
+        answer (w, call, 503, NULL);
+      else if (g_str_equal (call->path, "/multi"))
+        {
+          guint status = store_txn (w, call->body, &body);
+          answer (w, call, status, body);
+        }
+      else if (g_str_has_prefix (call->path, "/kv/"))
+        {
+          body = store_item (w, call->path + 4);
+          answer (w, call, body ? 200 : 404, body);
+        }
+      else if (g_str_has_prefix (call->path, "/kv?"))
+        answer (w, call, 200, store_range (w, call->path));
+      else if (g_str_has_prefix (call->path, "/follow"))
+        {
+          Watcher *watcher = g_new0 (Watcher, 1);
+          g_autofree char *after = query (call->path, "since"), *wait = query (call->path, "waitMs");
+          watcher->call = call;
+          watcher->prefix = query (call->path, "starts");
+          watcher->after = g_ascii_strtoull (after, NULL, 10);
+          watcher->until = w->now + g_ascii_strtod (wait, NULL) / 1000;
+          g_ptr_array_add (w->watchers, watcher);
+          world_at (w, watcher->until, watch_over, NULL);
+          wake_watchers (w);
+        }
+      else if (g_str_equal (call->path, "/leases"))
+        {
+          Lease *lease = g_new0 (Lease, 1);
+          cJSON *root = cJSON_Parse (call->body);
+          lease->ttl = hzb_json_number (root, "ttlMs", 0) / 1000;
+          lease->until = w->now + lease->ttl;
+          cJSON_Delete (root);
+          w->lease_number++;
+          g_hash_table_insert (w->leases, GSIZE_TO_POINTER (w->lease_number), lease);
+          world_at (w, lease->until, lease_tick, GSIZE_TO_POINTER (w->lease_number));
+          answer (w, call, 200, g_strdup_printf ("{\"permit\":%" G_GUINT64_FORMAT "}", w->lease_number));
+        }
+      else
+        {
+          guint64 id = g_ascii_strtoull (call->path + strlen ("/leases/"), NULL, 10);
+          Lease *lease = g_hash_table_lookup (w->leases, GSIZE_TO_POINTER (id));
+          guint status = lease ? 200 : 404;
+          if (lease && g_str_equal (call->method, "DELETE"))
+            end_lease (w, id);
+          else if (lease)
+            lease->until = w->now + lease->ttl;
+          answer (w, call, status, NULL);
+        }
+    }
+  else if (g_str_equal (call->addr, "10.9.0.2:1"))
+    cloud_request (w, call);
+  else
+    {
+      Node *target = &w->nodes[call->addr[7] - '1'];
+      HzbExchange *exchange;
+      gpointer *pair;
+      if (!target->c)
+        {
+          answer (w, call, 0, NULL);
+          return;
+        }
+      exchange = g_new0 (HzbExchange, 1);
+      pair = g_new0 (gpointer, 2);
+      pair[0] = w;
+      pair[1] = call;
+      exchange->method = g_strdup (call->method);
+      exchange->path = g_strdup (call->path);
+      exchange->body = g_strdup (call->body ? call->body : "");
+      exchange->length = strlen (exchange->body);
+      exchange->reply = peer_reply;
+      exchange->impl = pair;
+      hzb_controller_peer_request (exchange, target->c);
+    }
+}
+
+static void
+node_send (HzbTransport *transport, const char *method, const char *addr, const char *path, char *body,
+           guint timeout_ms, HzbReplyFunc done, gpointer user)
+{
+  NodeTransport *from = (NodeTransport *) transport;
+  World *w = from->world;
+  Call *call = g_new0 (Call, 1);
+  call->node = from->at;
+  call->life = from->life;
+  call->method = g_strdup (method);
+  call->addr = g_strdup (addr);
+  call->path = g_strdup (path);
+  call->body = body;
+  call->done = done;
+  call->user = user;
+  call->refs = 1;
+  world_at (w, w->now + timeout_ms / 1000.0, on_timeout, call);
+  if (chance (w, w->lose) || is_cut (w, call))
+    return;
+  call->refs++;
+  /* Held back: it is carried out long after its sender has given up. */
+  world_at (w, w->now + (chance (w, w->late) ? g_rand_double_range (w->rand, 1, 9) : delay (w)), on_arrival, call);
+}
+
+/* ---- cloud ---- */
+
+static void machine_tick (World *w, gpointer data);
+
+WorldMachine *
+world_add_machine (World *w, const char *type, const char *zone, gboolean spot, double up_after)
+{
+  WorldMachine *m = g_new0 (WorldMachine, 1);
+  m->name = g_strdup_printf ("i-%06u", ++w->machine_number);
+  m->type = g_strdup (type);
+  m->zone = g_strdup (zone);
+  m->spot = spot;
+  m->cpus = *type == 'b' ? 8 : 4;
+  m->rented = w->now;
+  m->up_at = w->now + up_after;
+  m->listed_at = w->now + g_rand_double_range (w->rand, 1, 4);
+  m->gone_at = INFINITY;
+  m->session = 1;
+  m->tasks = g_ptr_array_new ();
+  m->node = (guint) g_rand_int_range (w->rand, 0, WORLD_NODES);
+  g_ptr_array_add (w->machines, m);
+  if (!w->boot_never || !chance (w, 0.2))
+    world_at (w, m->up_at, machine_tick, m);
+  return m;
+}
+
+static void
+cloud_request (World *w, Call *call)
+{
+  if (g_str_equal (call->path, "/machine_types"))
+    answer (w, call, 200,
+            g_strdup ("{\"flavors\":[{\"sku\":\"big\",\"cpus\":8,\"gpus\":0,\"ramGb\":32,\"localGb\":50,\"pullGbPerS\":1,"
+                      "\"price\":1.0,\"lowPrice\":0.4,\"readyS\":4,\"yards\":[\"za\",\"zb\"]},"
+                      "{\"sku\":\"small\",\"cpus\":4,\"gpus\":0,\"ramGb\":16,\"localGb\":50,\"pullGbPerS\":1,"
+                      "\"price\":0.6,\"lowPrice\":0.25,\"readyS\":3,\"yards\":[\"za\",\"zb\"]}]}"));
+  else if (g_str_equal (call->path, "/hosts"))
+    {
+      cJSON *root = cJSON_Parse (call->body), *out, *list;
+      const char *request = hzb_json_text (root, "hire");
+      const char *known = g_hash_table_lookup (w->requests, request);
+      if (!known)
+        {
+          guint alive = 0, count = (guint) hzb_json_number (root, "count", 1);
+          char *text;
+          for (guint i = 0; i < w->machines->len; i++)
+            alive += !((WorldMachine *) w->machines->pdata[i])->gone;
+          out = cJSON_CreateObject ();
+          list = cJSON_AddArrayToObject (out, "hosts");
+          for (; count && alive < 12; count--, alive++)
+            cJSON_AddItemToArray (list, cJSON_CreateString (world_add_machine (w, hzb_json_text (root, "flavor"), hzb_json_text (root, "yard"),
+                                                             cJSON_IsTrue (cJSON_GetObjectItem (root, "loaners")),
+                                                             g_rand_double_range (w->rand, 1, 6))->name));
+          if (cJSON_GetArraySize (list))
+            {
+              text = cJSON_PrintUnformatted (out);
+              known = g_strdup (text);
+              cJSON_free (text);
+              g_hash_table_insert (w->requests, g_strdup (request), (gpointer) known);
+            }
+          cJSON_Delete (out);
+        }
+      cJSON_Delete (root);
+      if (known)
+        answer (w, call, 200, g_strdup (known));
+      else
+        answer (w, call, 503, g_strdup ("{\"error\":\"no capacity\"}"));
+    }
+  else if (g_str_equal (call->path, "/hosts/return"))
+    {
+      cJSON *root = cJSON_Parse (call->body);
+      const cJSON *item;
+      cJSON_ArrayForEach (item, cJSON_GetObjectItem (root, "hosts"))
+        for (guint i = 0; i < w->machines->len; i++)
+          {
+            WorldMachine *m = w->machines->pdata[i];
+            if (g_str_equal (m->name, item->valuestring) && !m->gone)
+              {
+                m->gone = TRUE;
+                m->gone_at = w->now;
+                g_ptr_array_set_size (m->tasks, 0);
+              }
+          }
+      cJSON_Delete (root);
+      answer (w, call, 200, g_strdup ("{}"));
+    }
+  else
+    {
+      cJSON *root = cJSON_CreateObject (), *list = cJSON_AddArrayToObject (root, "hosts");
+      char *text;
+      for (guint i = 0; i < w->machines->len; i++)
+        {
+          const WorldMachine *m = w->machines->pdata[i];
+          cJSON *item;
+          if (w->now < m->listed_at || w->now > m->gone_at + 3)
+            continue;
+          item = cJSON_CreateObject ();
+          cJSON_AddStringToObject (item, "uid", m->name);
+          cJSON_AddStringToObject (item, "addr", "10.1.0.1:1");
+          cJSON_AddStringToObject (item, "flavor", m->type);
+          cJSON_AddStringToObject (item, "yard", m->zone);
+          cJSON_AddBoolToObject (item, "loaners", m->spot);
+          cJSON_AddStringToObject (item, "status", m->failed ? "failed" : m->up ? "running" : "starting");
+          cJSON_AddNumberToObject (item, "ageS", w->now - m->rented);
+          cJSON_AddItemToArray (list, item);
+        }
+      cJSON_AddBoolToObject (root, "hasNext", FALSE);
+      text = cJSON_PrintUnformatted (root);
+      cJSON_Delete (root);
+      answer (w, call, 200, text);
+    }
+}
+
+/* ---- workers ---- */
+
+static const char *const state_names[] = { "fetching", "gathering", "running", "saving", "ended" };
+
+static void
+forget_tasks (WorldMachine *m)
+{
+  for (guint i = 0; i < m->tasks->len; i++)
+    {
+      g_free (((WorldTask *) m->tasks->pdata[i])->uid);
+      g_free (m->tasks->pdata[i]);
+    }
+  g_ptr_array_set_size (m->tasks, 0);
+}
+
+static void
+end_task (WorldTask *task, const char *why)
+{
+  task->state = 4;
+  g_strlcpy (task->why, why, sizeof task->why);
+}
+
+WorldTask *
+world_put_task (World *w, WorldMachine *m, WorldJob *job, guint number, guint64 attempt)
+{
+  WorldTask *task = g_new0 (WorldTask, 1);
+  task->uid = g_strdup (job->uid);
+  task->task = number;
+  task->attempt = attempt;
+  task->ready_at = w->now + 0.5;
+  task->end_at = task->ready_at + job->run_s * g_rand_double_range (w->rand, 0.6, 1.5);
+  g_ptr_array_add (m->tasks, task);
+  w->started++;
+  return task;
+}
+
+static void
+start_task (World *w, WorldMachine *m, const char *piece, guint64 attempt)
+{
+  const char *slash = strrchr (piece, '/');
+  g_autofree char *uid = g_strndup (piece, (gsize) (slash - piece));
+  guint number = (guint) g_ascii_strtoull (slash + 1, NULL, 10);
+  WorldJob *job = find_job (w, uid);
+  double used = 0;
+  gboolean same = FALSE;
+  WorldTask *task;
+  for (guint i = 0; i < m->tasks->len; i++)
+    {
+      const WorldTask *other = m->tasks->pdata[i];
+      gboolean this_one = g_str_equal (other->uid, uid) && other->task == number;
+      if (this_one && other->attempt == attempt)
+        return;
+      if (other->state < 4)
+        {
+          used += find_job (w, other->uid)->cpus;
+          same = same || this_one;
+        }
+    }
+  if (!job)
+    return;
+  task = world_put_task (w, m, job, number, attempt);
+  if (same)
+    end_task (task, "in_use");
+  else if (used + job->cpus > m->cpus)
+    end_task (task, "full");
+  else if (job->spot == FALSE && m->spot)
+    broken (w, "wrong_place", "%s on a spot machine", piece);
+  else if ((job->zone && !g_str_equal (job->zone, m->zone)) || (job->type && !g_str_equal (job->type, m->type)))
+    broken (w, "wrong_place", "%s on %s in %s", piece, m->type, m->zone);
+}
+
+static void
+carry_out (World *w, WorldMachine *m, const cJSON *orders)
+{
+  const cJSON *order;
+  cJSON_ArrayForEach (order, orders)
+    {
+      const char *verb = hzb_json_text (order, "verb"), *piece = hzb_json_text (order, "piece");
+      guint64 attempt = hzb_json_u64 (order, "try");
+      if (g_str_equal (verb, "run"))
+        {
+          start_task (w, m, piece, attempt);
+          continue;
+        }
+      for (guint i = 0; i < m->tasks->len; i++)
+        {
+          WorldTask *task = m->tasks->pdata[i];
+          g_autofree char *name = g_strdup_printf ("%s/%u", task->uid, task->task);
+          if (!g_str_equal (name, piece) || task->attempt != attempt)
+            continue;
+          if (g_str_equal (verb, "kill") && task->state < 4)
+            end_task (task, "stopped");
+          else if (g_str_equal (verb, "reap") && task->state == 4)
+            {
+              g_free (task->uid);
+              g_free (task);
+              g_ptr_array_remove_index (m->tasks, i);
+              break;
+            }
+        }
+    }
+}
+
+static char *
+report_of (WorldMachine *m)
+{
+  cJSON *root = cJSON_CreateObject (), *list;
+  char *text;
+  cJSON_AddStringToObject (root, "host", m->name);
+  cJSON_AddStringToObject (root, "addr", "10.1.0.1:1");
+  cJSON_AddStringToObject (root, "flavor", m->type);
+  cJSON_AddStringToObject (root, "yard", m->zone);
+  cJSON_AddBoolToObject (root, "loaners", m->spot);
+  hzb_json_add_u64 (root, "tenure", m->session);
+  hzb_json_add_u64 (root, "tick", ++m->seq);
+  hzb_json_add_u64 (root, "baton", m->token);
+  list = cJSON_AddArrayToObject (root, "pieces");
+  for (guint i = 0; i < m->tasks->len; i++)
+    {
+      const WorldTask *task = m->tasks->pdata[i];
+      cJSON *item = cJSON_CreateObject ();
+      g_autofree char *name = g_strdup_printf ("%s/%u", task->uid, task->task);
+      cJSON_AddStringToObject (item, "piece", name);
+      hzb_json_add_u64 (item, "try", task->attempt);
+      cJSON_AddStringToObject (item, "status", state_names[task->state]);
+      if (task->state == 4)
+        cJSON_AddStringToObject (item, "cause", task->why);
+      cJSON_AddItemToArray (list, item);
+    }
+  text = cJSON_PrintUnformatted (root);
+  cJSON_Delete (root);
+  return text;
+}
+
+typedef struct
+{
+  WorldMachine *m;
+  char *body;
+  guint number, node;
+  guint64 session;
+  double sent;
+  guint status;
+  gboolean over;
+} Report;
+
+/* The answer, or that none came within 4 s. */
+static void
+report_over (World *w, gpointer data)
+{
+  Report *r = data;
+  WorldMachine *m = r->m;
+  cJSON *root;
+  if (m->gone || m->hung || !m->asking || m->report_number != r->number)
+    return; /* given up already: the late answer is dropped */
+  if (m->cut)
+    r->status = 0;
+  m->asking = FALSE;
+  root = r->status ? cJSON_Parse (r->body) : NULL;
+  if (r->status == 200)
+    {
+      guint64 token = hzb_json_u64 (root, "baton");
+      if (token >= m->token && token > 0 && r->session == m->session)
+        {
+          if (token > m->token)
+            m->next_report = MIN (m->next_report, w->now + 0.5);
+          m->token = token;
+          m->lease_from = r->sent;
+          carry_out (w, m, cJSON_GetObjectItem (root, "orders"));
+        }
+    }
+  else
+    {
+      const char *steward = r->status == 421 ? hzb_json_text (root, "steward") : NULL;
+      guint to = steward ? (guint) (steward[strlen (steward) - 1] - '0') : r->node;
+      m->node = to != r->node ? to : (r->node + 1) % WORLD_NODES;
+      m->next_report = w->now + (to != r->node ? 0.2 : 1);
+    }
+  cJSON_Delete (root);
+}
+
+static void
+worker_reply (HzbExchange *exchange, guint status, const char *body, guint retry)
+{
+  gpointer *pair = exchange->impl;
+  World *w = pair[0];
+  Report *r = pair[1];
+  g_free (pair);
+  r->status = status;
+  r->body = g_strdup (body);
+  if (!chance (w, w->lose) && !w->nodes[r->node].cut_workers)
+    world_at (w, w->now + delay (w), report_over, r);
+}
+
+static void
+report_arrives (World *w, gpointer data)
+{
+  Report *r = data;
+  Node *node = &w->nodes[r->node];
+  HzbExchange *exchange;
+  gpointer *pair;
+  if (!node->c || node->cut_workers)
+    return;
+  exchange = g_new0 (HzbExchange, 1);
+  pair = g_new0 (gpointer, 2);
+  pair[0] = w;
+  pair[1] = r;
+  exchange->method = g_strdup ("POST");
+  exchange->path = g_strdup ("/hello");
+  exchange->body = g_steal_pointer (&r->body);
+  exchange->length = strlen (exchange->body);
+  exchange->reply = worker_reply;
+  exchange->impl = pair;
+  hzb_controller_request (exchange, node->c);
+}
+
+static void
+report_gives_up (World *w, gpointer data)
+{
+  Report *r = data;
+  r->status = 0;
+  report_over (w, r);
+}
+
+static void
+send_report (World *w, WorldMachine *m)
+{
+  Report *r = g_new0 (Report, 1);
+  r->m = m;
+  r->body = report_of (m);
+  r->number = ++m->report_number;
+  r->node = m->node;
+  r->session = m->session;
+  r->sent = w->now;
+  m->asking = TRUE;
+  m->next_report = w->now + REPORT_S * g_rand_double_range (w->rand, 0.75, 1.25);
+  world_at (w, w->now + 4, report_gives_up, r);
+  if (!m->cut && !chance (w, w->lose))
+    world_at (w, w->now + (chance (w, w->late) ? g_rand_double_range (w->rand, 1, 9) : delay (w)), report_arrives, r);
+}
+
+static void
+machine_tick (World *w, gpointer data)
+{
+  WorldMachine *m = data;
+  gboolean changed = FALSE;
+  if (m->gone || m->failed)
+    return;
+  world_at (w, w->now + 0.25, machine_tick, m);
+  if (!m->up)
+    {
+      m->up = TRUE;
+      m->lease_from = m->next_report = w->now;
+    }
+  if (w->now - m->lease_from > LEASE_S)
+    {
+      forget_tasks (m); /* a hung machine's lease ends as well */
+      m->session++;
+      m->seq = 0;
+      m->asking = FALSE;
+      m->lease_from = w->now;
+    }
+  if (m->hung)
+    return;
+  for (guint i = 0; i < m->tasks->len; i++)
+    {
+      WorldTask *task = m->tasks->pdata[i];
+      WorldJob *job = find_job (w, task->uid);
+      if (task->state == 0 && w->now >= task->ready_at)
+        {
+          task->state = 2;
+          if (m->sick || job->bad)
+            end_task (task, "error");
+        }
+      else if (task->state == 2 && w->now >= task->end_at)
+        {
+          end_task (task, "done");
+          job->finished[task->task] = 1;
+          w->ran++;
+        }
+      else
+        continue;
+      changed = TRUE;
+    }
+  if (changed)
+    m->next_report = MIN (m->next_report, w->now + 0.3);
+  if (!m->asking && w->now >= m->next_report)
+    send_report (w, m);
+}
+
+/* ---- users ---- */
+
+typedef struct
+{
+  WorldJob *job;
+  enum
+  {
+    USER_SUBMITS,
+    USER_POLLS,
+    USER_CANCELS
+  } what;
+} UserCall;
+
+static void user_step (World *w, gpointer data);
+
+static void
+user_reply (HzbExchange *exchange, guint status, const char *body, guint retry)
+{
+  gpointer *pair = exchange->impl;
+  World *w = pair[0];
+  UserCall *call = pair[1];
+  WorldJob *job = call->job;
+  cJSON *root = cJSON_Parse (body ? body : "");
+  const char *state = hzb_json_text (root, "status");
+  gboolean all = TRUE;
+  for (guint i = 0; i < job->n; i++)
+    all = all && job->finished[i];
+  if (status == 200 || status == 201)
+    {
+      gboolean done = g_strcmp0 (state, "done") == 0, cancelled = g_strcmp0 (state, "cancelled") == 0;
+      job->accepted = TRUE;
+      if (done && !all)
+        broken (w, "not_done", "%s is called done", job->uid);
+      if ((job->told_done && !done) || (job->told_cancelled && !cancelled) || (cancelled && !job->asked_cancel))
+        broken (w, "went_back", "%s is called %s", job->uid, state);
+      if (cancelled && !job->told_cancelled)
+        job->cancelled_at = w->now;
+      job->told_done = job->told_done || done;
+      job->told_cancelled = job->told_cancelled || cancelled;
+    }
+  else if (job->accepted && (status == 404 || status == 400 || status == 422))
+    broken (w, "forgotten", "%s got %u", job->uid, status);
+  cJSON_Delete (root);
+  g_free (call);
+  g_free (pair);
+}
+
+static void
+user_arrives (World *w, gpointer data)
+{
+  UserCall *call = data;
+  WorldJob *job = call->job;
+  guint at = (guint) g_rand_int_range (w->rand, 0, WORLD_NODES);
+  HzbExchange *exchange;
+  gpointer *pair;
+  if (!w->nodes[at].c)
+    {
+      g_free (call);
+      return;
+    }
+  exchange = g_new0 (HzbExchange, 1);
+  pair = g_new0 (gpointer, 2);
+  pair[0] = w;
+  pair[1] = call;
+  exchange->reply = user_reply;
+  exchange->impl = pair;
+  exchange->method = g_strdup (call->what == USER_POLLS ? "GET" : "POST");
+  exchange->body = g_strdup ("");
+  if (call->what == USER_SUBMITS)
+    {
+      g_autofree char *types = job->type ? g_strdup_printf ("[\"%s\"]", job->type) : g_strdup ("null");
+      g_autofree char *zone = job->zone ? g_strdup_printf ("\"%s\"", job->zone) : g_strdup ("null");
+      exchange->path = g_strdup ("/api/jobs");
+      g_free (exchange->body);
+      exchange->body = g_strdup_printf (
+          "{\"uid\":\"%s\",\"lane\":\"l\",\"owner\":\"%s\",\"shape\":\"%s\",\"urgency\":\"%s\",\"pieces\":%u,"
+          "\"cpus\":%g,\"gpus\":0,\"ramGb\":1,\"bundle\":\"img\",\"sizeGb\":0.5,\"flavors\":%s,\"yard\":%s,"
+          "\"samePlace\":false,\"spread\":false,\"loaners\":%s,\"expectS\":%g,\"snapshotEveryS\":0,\"snapshotS\":0}",
+          job->uid, job->team, job->gang ? "ensemble" : "sweep", job->n % 3 == 0 ? "urgent" : "normal", job->n, job->cpus,
+          types, zone, job->spot ? "true" : "false", job->run_s);
+      job->submitted = TRUE;
+    }
+  else
+    exchange->path = g_strdup_printf ("/api/jobs/%s%s", job->uid, call->what == USER_CANCELS ? "/cancel" : "");
+  if (call->what == USER_CANCELS)
+    job->asked_cancel = TRUE;
+  exchange->length = strlen (exchange->body);
+  hzb_controller_request (exchange, w->nodes[at].c);
+}
+
+static void
+user_step (World *w, gpointer data)
+{
+  WorldJob *job = data;
+  UserCall *call = g_new0 (UserCall, 1);
+  call->job = job;
+  call->what = !job->accepted                                                        ? USER_SUBMITS
+               : job->wants_cancel && !job->told_cancelled && w->now > job->submit_at + 8 ? USER_CANCELS
+               : chance (w, 0.1)                                                     ? USER_SUBMITS
+                                                                                     : USER_POLLS;
+  world_at (w, w->now + delay (w), user_arrives, call);
+  world_at (w, w->now + g_rand_double_range (w->rand, 1, 3), user_step, job);
+}
+
+WorldJob *
+world_add_job (World *w, double at, const char *team, guint n, double cpus, double run_s)
+{
+  WorldJob *job = g_new0 (WorldJob, 1);
+  job->uid = g_strdup_printf ("run-%06u", 100000 + w->jobs->len);
+  job->team = g_strdup (team);
+  job->n = n;
+  job->cpus = cpus;
+  job->run_s = run_s;
+  job->spot = TRUE;
+  job->submit_at = at;
+  job->finished = g_new0 (guchar, n);
+  g_ptr_array_add (w->jobs, job);
+  world_at (w, at, user_step, job);
+  return job;
+}
+
+guint
+world_unfinished (World *w)
+{
+  guint n = 0;
+  for (guint i = 0; i < w->jobs->len; i++)
+    {
+      const WorldJob *job = w->jobs->pdata[i];
+      n += !job->told_done && !job->told_cancelled;
+    }
+  return n;
+}
+
+/* ---- rules ---- */
+
+static gboolean
+on_machine (const WorldTask *task)
+{
+  return task->state >= 1 && task->state <= 3;
+}
+
+void
+world_check (World *w)
+{
+  g_autoptr (GHashTable) places = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  g_autoptr (GHashTable) teams = g_hash_table_new (g_str_hash, g_str_equal);
+  for (guint i = 0; i < w->machines->len; i++)
+    {
+      const WorldMachine *m = w->machines->pdata[i];
+      for (guint k = 0; k < m->tasks->len && !m->gone; k++)
+        {
+          const WorldTask *task = m->tasks->pdata[k];
+          WorldJob *job = find_job (w, task->uid);
+          char *name;
+          double *used;
+          if (!on_machine (task))
+            continue;
+          name = g_strdup_printf ("%s/%u", task->uid, task->task);
+          if (g_hash_table_contains (places, name))
+            broken (w, "ran_twice", "%s on %s and another", name, m->name);
+          g_hash_table_add (places, name);
+          if (job->told_cancelled && w->now > job->cancelled_at + CANCEL_S)
+            broken (w, "ran_cancelled", "%s on %s", name, m->name);
+          used = g_hash_table_lookup (teams, job->team);
+          if (!used)
+            {
+              used = g_new0 (double, 1);
+              g_hash_table_insert (teams, job->team, used);
+            }
+          *used += job->cpus;
+          if (*used > TEAM_MAX + 1e-9)
+            broken (w, "quota", "%s uses %g", job->team, *used);
+        }
+    }
+  {
+    GHashTableIter iter;
+    gpointer used;
+    g_hash_table_iter_init (&iter, teams);
+    while (g_hash_table_iter_next (&iter, NULL, &used))
+      g_free (used);
+  }
+}
+
+/* ---- nodes ---- */
+
+static void
+node_tick (World *w, gpointer data)
+{
+  Node *node = data;
+  if (node->c)
+    hzb_controller_tick (node->c);
+  world_at (w, w->now + 0.1, node_tick, node);
+}
+
+void
+world_start (World *w, guint at)
+{
+  Node *node = &w->nodes[at];
+  GString *text = g_string_new (NULL);
+  g_autoptr (GError) error = NULL;
+  HzbSettings *settings;
+  g_string_printf (text, "node = \"node-%u\"\nsite = \"za\"\napi_addr = \"10.0.0.%u:80\"\ncluster_listen = \"10.0.0.%u:81\"\n", at, at + 1, at + 1);
+  for (guint i = 0; i < WORLD_NODES; i++)
+    if (i != at)
+      g_string_append_printf (text, "[[peers]]\nnode = \"node-%u\"\nsite = \"za\"\naddress = \"10.0.0.%u:81\"\n", i, i + 1);
+  g_string_append_printf (text,
+                          "[external]\ncloud = \"10.9.0.2:1\"\nstate = \"10.9.0.1:1\"\n[cluster]\nsize = 3\n"
+                          "zones = [\"za\", \"zb\"]\nskew_ms = 5\n"
+                          "[[cluster.teams]]\nname = \"red\"\ncpus = 8\ncpus_max = %g\n"
+                          "[[cluster.teams]]\nname = \"blue\"\ncpus = 8\ncpus_max = %g\n"
+                          "[cluster.workers]\nreport_s = %g\nlease_s = %g\ngang_wait_s = 20\ngang_peer_s = 4\ncancel_s = %g\n"
+                          "[cluster.state]\nrps = 200\nwrite_rps = 60\nvalue_kb = 16\ntxn_ops = 8\n"
+                          "[cluster.cloud]\nrps = 6\nlist_lag_s = 3\n",
+                          TEAM_MAX, TEAM_MAX, REPORT_S, LEASE_S, CANCEL_S);
+  settings = hzb_settings_parse (text->str, "world", &error);
+  g_assert_no_error (error);
+  g_string_free (text, TRUE);
+  node->life++;
+  node->transport = g_new0 (NodeTransport, 1);
+  node->transport->parent.send = node_send;
+  node->transport->world = w;
+  node->transport->at = at;
+  node->transport->life = node->life;
+  node->c = hzb_controller_new (settings, w->clock, &node->transport->parent, g_rand_int (w->rand));
+}
+
+/* What the process held is gone with it; its memory is left alone, as calls on their way still name it. */
+void
+world_crash (World *w, guint at)
+{
+  w->nodes[at].c = NULL;
+}
+
+int
+world_leader (World *w)
+{
+  for (guint i = 0; i < WORLD_NODES; i++)
+    if (w->nodes[i].c && hzb_election_leading (w->nodes[i].c->election))
+      return (int) i;
+  return -1;
+}
+
+World *
+world_new (guint32 seed)
+{
+  World *w = g_new0 (World, 1);
+  w->clock = hzb_clock_new_manual ();
+  w->rand = g_rand_new_with_seed (seed);
+  w->events = g_sequence_new (g_free);
+  w->kv = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, value_free);
+  w->leases = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+  w->history = g_ptr_array_new_with_free_func (change_free);
+  w->watchers = g_ptr_array_new ();
+  w->requests = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  w->machines = g_ptr_array_new ();
+  w->jobs = g_ptr_array_new ();
+  w->broken = g_ptr_array_new_with_free_func (g_free);
+  for (guint i = 0; i < WORLD_NODES; i++)
+    {
+      world_start (w, i);
+      world_at (w, 0.03 * (i + 1), node_tick, &w->nodes[i]);
+    }
+  return w;
+}
+
+void
+world_free (World *w)
+{
+  g_sequence_free (w->events);
+  g_hash_table_unref (w->kv);
+  g_hash_table_unref (w->leases);
+  g_ptr_array_unref (w->history);
+  g_hash_table_unref (w->requests);
+  g_ptr_array_unref (w->broken);
+  g_rand_free (w->rand);
+  hzb_clock_free (w->clock);
+  g_free (w);
+}
--- /dev/null
+++ b/tests/world.h
@@ -0,0 +1,95 @@
+/* A small world in simulated time: stand-ins of the state service, the cloud, the workers and the users,
+ * written from the published protocol, around real controllers. After every step the rules are checked. */
+#pragma once
+#include "controller.h"
+
+#define WORLD_NODES 3
+
+typedef struct _World World;
+
+typedef struct
+{
+  HzbTransport parent;
+  World *world;
+  guint at, life; /* life: counts processes */
+} NodeTransport;
+
+typedef struct
+{
+  HzbController *c; /* NULL: down */
+  HzbClock *clock;  /* the world's */
+  NodeTransport *transport;
+  guint life;
+  gboolean cut_store, cut_peers, cut_workers, refused;
+} Node;
+
+typedef struct
+{
+  char *uid;
+  guint task;
+  guint64 attempt;
+  int state; /* 0 fetching 1 gathering 2 running 3 saving 4 ended */
+  char why[12];
+  double ready_at, end_at;
+  gboolean stored;
+} WorldTask;
+
+typedef struct
+{
+  char *name, *type, *zone;
+  gboolean spot, up, failed, gone, cut, hung, sick;
+  double rented, up_at, listed_at, gone_at, cpus;
+  guint64 session, seq, token;
+  double lease_from, next_report;
+  guint node, report_number;
+  gboolean asking;
+  GPtrArray *tasks; /* WorldTask */
+} WorldMachine;
+
+typedef struct
+{
+  char *uid, *team;
+  guint n;
+  double cpus, run_s;
+  const char *zone, *type;
+  gboolean spot, bad, gang;
+  gboolean wants_cancel, submitted, accepted, told_done, told_cancelled, asked_cancel;
+  double submit_at, cancelled_at;
+  guchar *finished; /* a task has ended well somewhere */
+} WorldJob;
+
+struct _World
+{
+  HzbClock *clock;
+  double now;
+  GRand *rand;
+  Node nodes[WORLD_NODES];
+  GSequence *events;
+  guint64 event_number;
+  /* state service */
+  GHashTable *kv, *leases;
+  GPtrArray *history, *watchers;
+  guint64 revision, lease_number;
+  gboolean outage;
+  /* cloud */
+  GHashTable *requests;
+  guint machine_number;
+  GPtrArray *machines, *jobs;
+  double lose, late; /* chances per message */
+  gboolean boot_never;
+  GPtrArray *broken; /* rules broken, as texts */
+  guint started, ran;
+};
+
+World *world_new (guint32 seed);
+void world_free (World *w);
+void world_run (World *w, double until);
+void world_crash (World *w, guint node);
+void world_start (World *w, guint node);
+WorldJob *world_add_job (World *w, double at, const char *team, guint n, double cpus, double run_s);
+WorldMachine *world_add_machine (World *w, const char *type, const char *zone, gboolean spot, double up_after);
+WorldTask *world_put_task (World *w, WorldMachine *m, WorldJob *job, guint task, guint64 attempt);
+void world_check (World *w);
+guint world_unfinished (World *w);
+int world_leader (World *w); /* -1: none */
+void world_at (World *w, double at, void (*run) (World *w, gpointer data), gpointer data);
