--- a/src/controller.c
+++ b/src/controller.c
@@ -860,6 +860,52 @@
     }
 }
 
+/* One line that tells an operator how the fleet stands. */
+static void
+log_summary (HzbController *c)
+{
+  guint up = 0, booting = 0, other = 0, running = 0, fetching = 0;
+  double cpus = 0, busy = 0, booting_cpus = 0, waiting = 0, held = 0;
+
+  for (guint i = 0; i < c->machines->all->len; i++)
+    {
+      const HzbMachine *m = c->machines->all->pdata[i];
+      if (m->state == HZB_MACHINE_ACTIVE && m->type)
+        {
+          up++;
+          cpus += m->type->cpus;
+        }
+      else if (m->state == HZB_MACHINE_BOOTING && m->type)
+        {
+          booting++;
+          booting_cpus += m->type->cpus;
+        }
+      else
+        other++;
+      for (guint k = 0; k < m->tasks->len; k++)
+        {
+          const HzbTask *task = m->tasks->pdata[k];
+          held += task->job->spec->cpus;
+          if (task->state == HZB_TASK_RUNNING)
+            {
+              busy += task->job->spec->cpus;
+              running++;
+            }
+          else
+            fetching++;
+        }
+    }
+  for (guint i = 0; i < c->jobs->active->len; i++)
+    {
+      const HzbJob *job = c->jobs->active->pdata[i];
+      if (job->state == HZB_JOB_ACCEPTED)
+        waiting += (job->pending + job->listed) * job->spec->cpus;
+    }
+  g_message ("fleet: %u up (%g CPUs: %g held, %g running), %u booting (%g CPUs), %u other; %u tasks run, %u get ready, "
+             "%g CPUs' worth wait",
+             up, cpus, held, busy, booting, booting_cpus, other, running, fetching, waiting);
+}
+
 static void
 hold_tick (HzbController *c, struct timespec now)
 {
@@ -883,6 +929,11 @@
       rent (c, now);
       hzb_dispatch_guarantees (c->dispatch);
     }
+  if (!hzb_time_before (now, c->next_summary))
+    {
+      c->next_summary = hzb_time_plus (now, 10);
+      log_summary (c);
+    }
   if (!hzb_time_before (now, c->next_dispatch))
     {
       c->next_dispatch = hzb_time_plus (now, 0.2);
--- a/src/controller.h
+++ b/src/controller.h
@@ -75,7 +75,7 @@
   char *list_after;
   GHashTable *gone; /* names given back: lists lag */
   GPtrArray *forget_keys; /* records of machines that are gone */
-  struct timespec hold_since, next_list, next_types, next_plan, next_peers, next_return, next_flush, next_dispatch;
+  struct timespec hold_since, next_list, next_types, next_plan, next_peers, next_return, next_flush, next_dispatch, next_summary;
 } HzbController;
 
 HzbController *hzb_controller_new (HzbSettings *settings, HzbClock *clock, HzbTransport *transport, guint32 seed);
