--- a/src/controller.c
+++ b/src/controller.c
@@ -796,7 +796,6 @@
           m = hzb_machines_add (c->machines, l->name, l->addr, l->type, l->zone, l->spot, HZB_MACHINE_BOOTING);
           m->rented = hzb_time_plus (now, -l->age_s);
         }
-      m->listed_by_cloud = TRUE;
       if (l->state == HZB_LISTED_FAILED && m->state != HZB_MACHINE_RETURNING)
         {
           m->wanted_back = TRUE;
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -9,13 +9,21 @@
   double pause;
 } Refusal;
 
-/* Work that the same machines may do. */
+/* One job's part of what machines are needed for. */
+typedef struct
+{
+  double work_s;  /* unit-seconds left */
+  double at_once; /* units that can be in use at once */
+  double within_s; /* how soon its tasks should all have started */
+} Part;
+
+/* Work that the same machines may do. Its unit is the CPU, or the GPU where it uses any. */
 typedef struct
 {
   const HzbSpec *spec; /* one of its jobs: types, zone and kind are the same for all */
   char *name;
-  double cpu_s, cpus; /* work left, and the most that can run at once */
-  double gpu_s, gpus;
+  gboolean gpus;
+  GArray *parts; /* Part */
   double memory_per_cpu;
 } Need;
 
@@ -27,8 +35,7 @@
   f->machines = machines;
   f->settings = settings;
   f->refused = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  f->horizon_s = 40;
-  f->idle_s = 12;
+  f->default_s = 120;
   return f;
 }
 
@@ -71,6 +78,7 @@
 need_free (gpointer data)
 {
   g_free (((Need *) data)->name);
+  g_array_unref (((Need *) data)->parts);
   g_free (data);
 }
 
@@ -82,6 +90,37 @@
   return (int) strlen (y->name) - (int) strlen (x->name);
 }
 
+/* Within what time from now all of a job's tasks should have been started: from the aims of its class and
+ * from its deadline. A job that is late already is treated as one with no aim. */
+static double
+start_within_s (HzbFleet *f, const HzbJob *job, struct timespec now)
+{
+  double mean = hzb_job_mean_s (job), age = hzb_time_between (job->since, now), least = f->default_s - 1.3 * mean;
+  gboolean aimed = FALSE;
+
+  for (guint i = 0; i < f->settings->objectives->len; i++)
+    {
+      const HzbObjective *o = f->settings->objectives->pdata[i];
+      double by;
+      if (g_strcmp0 (o->lane, job->spec->lane) != 0)
+        continue;
+      if (g_str_equal (o->kind, "finished"))
+        by = o->within_s - 1.3 * mean;
+      else if (g_str_equal (o->kind, "wait"))
+        by = o->within_s;
+      else if (g_str_equal (o->kind, "deadline") && job->spec->deadline_s > 0)
+        by = job->spec->deadline_s * MAX (o->times, 1) - 1.3 * mean;
+      else
+        continue;
+      if (by - age > 0)
+        {
+          least = aimed ? MIN (least, by - age) : by - age;
+          aimed = TRUE;
+        }
+    }
+  return CLAMP (0.6 * least, 10, 150);
+}
+
 static GPtrArray *
 needs (HzbFleet *f, struct timespec now)
 {
@@ -100,7 +139,8 @@
       const HzbSpec *spec = job->spec;
       g_autofree char *types = NULL, *name = NULL;
       Need *need = NULL;
-      double tasks, at_once;
+      Part part;
+      double tasks, at_once, unit;
       if (job->state != HZB_JOB_ACCEPTED || (hzb_time_before (now, job->not_before) && !job->placed))
         continue;
       tasks = job->pending + job->listed + job->unknown + job->placed;
@@ -114,7 +154,8 @@
       cpus_left[job->team] -= at_once * spec->cpus;
       gpus_left[job->team] -= at_once * spec->gpus;
       types = spec->types ? g_strjoinv (",", spec->types) : g_strdup ("");
-      name = g_strdup_printf ("%s%s%s%s", types, spec->zone ? "@" : "", spec->zone ? spec->zone : "", spec->spot ? "" : "!ordinary");
+      name = g_strdup_printf ("%s%s%s%s%s", types, spec->zone ? "@" : "", spec->zone ? spec->zone : "",
+                              spec->spot ? "" : "!ordinary", spec->gpus > 0 ? "!gpus" : "");
       for (guint k = 0; k < all->len && !need; k++)
         if (g_str_equal (((Need *) all->pdata[k])->name, name))
           need = all->pdata[k];
@@ -123,13 +164,16 @@
           need = g_new0 (Need, 1);
           need->spec = spec;
           need->name = g_steal_pointer (&name);
+          need->gpus = spec->gpus > 0;
+          need->parts = g_array_new (FALSE, FALSE, sizeof (Part));
           g_ptr_array_add (all, need);
         }
-      /* A task that runs is half over on the whole. */
-      need->cpu_s += (tasks - job->placed * 0.5) * spec->cpus * hzb_job_mean_s (job);
-      need->gpu_s += (tasks - job->placed * 0.5) * spec->gpus * hzb_job_mean_s (job);
-      need->cpus += at_once * spec->cpus;
-      need->gpus += at_once * spec->gpus;
+      unit = need->gpus ? spec->gpus : spec->cpus;
+      part.at_once = at_once * unit;
+      /* A task that runs is half over on the whole; a gang's tasks are needed together. */
+      part.work_s = (tasks - job->placed * 0.5) * unit * hzb_job_mean_s (job);
+      part.within_s = spec->gang || spec->service ? 0 : start_within_s (f, job, now);
+      g_array_append_val (need->parts, part);
       if (spec->cpus > 0)
         need->memory_per_cpu = MAX (need->memory_per_cpu, spec->memory_gb / spec->cpus);
     }
@@ -137,12 +181,26 @@
   return all;
 }
 
-/* CPUs of a type that this work can use, and the same in the need's scarcer unit. */
+/* Units that are worth having at a price of so many times the lowest: dearer machines are taken only for
+ * work that the cheap ones would leave waiting for longer. */
+static double
+wanted (const Need *need, double dearness)
+{
+  double sum = 0, slack = cbrt (MAX (dearness, 1));
+  for (guint i = 0; i < need->parts->len; i++)
+    {
+      const Part *part = &g_array_index (need->parts, Part, i);
+      sum += part->within_s > 0 ? MIN (part->at_once, part->work_s / (part->within_s * slack)) : part->at_once;
+    }
+  return sum;
+}
+
+/* What of a machine this work can use. */
 static double
-useful_units (const HzbMachineType *type, const Need *need, gboolean gpus)
+useful_units (const HzbMachineType *type, const Need *need)
 {
   double cpus = type->cpus;
-  if (gpus)
+  if (need->gpus)
     return type->gpus;
   if (need->memory_per_cpu > 0)
     cpus = MIN (cpus, type->memory_gb / need->memory_per_cpu);
@@ -155,12 +213,53 @@
   return hzb_type_holds (type, spec) && (spec->spot || !spot) && (!spec->zone || g_str_equal (spec->zone, zone));
 }
 
-static const HzbRental *
-add_rental (GArray *out, const HzbMachineType *type, const char *zone, gboolean spot, guint count)
+static double
+unit_price (const HzbMachineType *type, gboolean spot, const Need *need)
+{
+  double units = useful_units (type, need);
+  return units > 0 ? (spot ? type->spot_price : type->price) / units : INFINITY;
+}
+
+/* Boot time is paid and brings nothing. */
+static double
+with_boot (const HzbMachineType *type, double price)
 {
-  HzbRental rental = { type, zone, spot, count };
-  g_array_append_val (out, rental);
-  return &g_array_index (out, HzbRental, out->len - 1);
+  return price * (1 + type->boot_s / 80);
+}
+
+static double
+cheapest (HzbFleet *f, const Need *need, gboolean boot)
+{
+  double least = INFINITY;
+  for (guint t = 0; t < f->machines->types->len; t++)
+    {
+      const HzbMachineType *type = f->machines->types->pdata[t];
+      for (guint z = 0; type->zones[z]; z++)
+        for (gint spot = 0; spot < 2; spot++)
+          if (kind_fits (type, type->zones[z], spot, need->spec))
+            {
+              double price = unit_price (type, spot, need);
+              least = MIN (least, boot ? with_boot (type, price) : price);
+            }
+    }
+  return least;
+}
+
+/* What there is for this work, and will be soon. */
+static double
+supply (HzbFleet *f, const Need *need, struct timespec now)
+{
+  double have = 0;
+  for (guint k = 0; k < f->machines->all->len; k++)
+    {
+      const HzbMachine *m = f->machines->all->pdata[k];
+      if (!m->type || m->wanted_back || m->spare || !kind_fits (m->type, m->zone, m->spot, need->spec))
+        continue;
+      if (m->state == HZB_MACHINE_ACTIVE || m->state == HZB_MACHINE_UNHEARD
+          || (m->state == HZB_MACHINE_BOOTING && hzb_time_between (m->rented, now) < MAX (30, 2.5 * m->type->boot_s)))
+        have += useful_units (m->type, need);
+    }
+  return have;
 }
 
 GArray *
@@ -173,93 +272,160 @@
   for (guint i = 0; types && i < all->len; i++)
     {
       const Need *need = all->pdata[i];
-      gboolean gpus = need->gpu_s > 0;
-      double work = gpus ? need->gpu_s : need->cpu_s, at_once = gpus ? need->gpus : need->cpus;
-      double wanted = MIN (at_once, MAX (work / f->horizon_s, MIN (at_once, 1))), have = 0;
+      double have = supply (f, need, now), least_price = cheapest (f, need, TRUE);
       g_autoptr (GHashTable) tried = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 
-      for (guint k = 0; k < f->machines->all->len; k++)
-        {
-          const HzbMachine *m = f->machines->all->pdata[k];
-          if (!m->type || m->wanted_back || !kind_fits (m->type, m->zone, m->spot, need->spec))
-            continue;
-          if (m->state == HZB_MACHINE_ACTIVE || m->state == HZB_MACHINE_UNHEARD
-              || (m->state == HZB_MACHINE_BOOTING
-                  && hzb_time_between (m->rented, now) < MAX (30, 2.5 * m->type->boot_s)))
-            have += useful_units (m->type, need, gpus);
-        }
       for (guint k = 0; k < out->len; k++)
         {
           const HzbRental *r = &g_array_index (out, HzbRental, k);
           if (kind_fits (r->type, r->zone, r->spot, need->spec))
-            have += r->count * useful_units (r->type, need, gpus);
+            have += r->count * useful_units (r->type, need);
+        }
+      /* Spare machines that are still here come back before anything is rented. */
+      for (guint k = 0; k < f->machines->all->len && have + 1e-6 < wanted (need, 1); k++)
+        {
+          HzbMachine *m = f->machines->all->pdata[k];
+          if (m->spare && !m->wanted_back && m->state == HZB_MACHINE_ACTIVE && m->type
+              && kind_fits (m->type, m->zone, m->spot, need->spec)
+              && have + 1e-6 < wanted (need, unit_price (m->type, m->spot, need) / cheapest (f, need, FALSE)))
+            {
+              m->spare = FALSE;
+              m->idle_since = now;
+              have += useful_units (m->type, need);
+            }
         }
-      while (have + 1e-6 < wanted && out->len < 6)
+      while (out->len < 8)
         {
           const HzbMachineType *best = NULL;
           const char *best_zone = NULL;
           gboolean best_spot = FALSE;
-          double least = INFINITY, units;
-          guint count;
+          double least = INFINITY, units, lack;
+          HzbRental rental;
           for (guint t = 0; t < types->len; t++)
             {
               const HzbMachineType *type = types->pdata[t];
-              double room = useful_units (type, need, gpus);
               for (guint z = 0; type->zones[z]; z++)
-                for (guint spot = 0; spot < 2; spot++)
+                for (gint spot = 0; spot < 2; spot++)
                   {
-                    g_autofree char *name = offer_name (type, type->zones[z], (gboolean) spot);
+                    g_autofree char *name = offer_name (type, type->zones[z], spot);
                     const Refusal *refusal = g_hash_table_lookup (f->refused, name);
-                    double cost;
-                    if (!kind_fits (type, type->zones[z], (gboolean) spot, need->spec) || room <= 0
+                    double cost = with_boot (type, unit_price (type, spot, need));
+                    if (!kind_fits (type, type->zones[z], spot, need->spec) || !isfinite (cost)
                         || g_hash_table_contains (tried, name) || (refusal && hzb_time_before (now, refusal->until)))
                       continue;
-                    /* Boot time is paid and brings nothing; a machine larger than the lack is partly idle. */
-                    cost = (spot ? type->spot_price : type->price) * (1 + type->boot_s / (2 * f->horizon_s))
-                           / MIN (room, MAX (wanted - have, 0.25 * room));
                     if (cost < least)
                       {
                         least = cost;
                         best = type;
                         best_zone = type->zones[z];
-                        best_spot = (gboolean) spot;
+                        best_spot = spot;
                       }
                   }
             }
           if (!best)
             break;
-          units = useful_units (best, need, gpus);
-          count = (guint) CLAMP (ceil ((wanted - have) / units - 0.25), 1, 50);
-          add_rental (out, best, best_zone, best_spot, count);
+          units = useful_units (best, need);
+          lack = wanted (need, least / least_price) - have;
+          if (lack < MIN (1, units * 0.25))
+            break; /* what is dearer is wanted still less */
+          rental = (HzbRental){ best, best_zone, best_spot, (guint) CLAMP (ceil (lack / units - 0.25), 1, 50) };
+          g_array_append_val (out, rental);
           g_hash_table_add (tried, offer_name (best, best_zone, best_spot));
-          have += count * units;
+          have += rental.count * units;
         }
     }
   return out;
 }
 
+typedef struct
+{
+  HzbMachine *m;
+  double price;
+} Candidate;
+
+static gint
+dearest_first (gconstpointer a, gconstpointer b)
+{
+  const Candidate *x = a, *y = b;
+  if (fabs (x->price - y->price) > 1e-9)
+    return x->price > y->price ? -1 : 1;
+  return (int) x->m->tasks->len - (int) y->m->tasks->len;
+}
+
+/* Machines beyond what is wanted take no new tasks, the dearest first; once empty they go back. Spreading work
+ * evenly, as the dispatch rule does, would keep every one of them half full for as long as there is any work. */
+static void
+mark_spare (HzbFleet *f, struct timespec now)
+{
+  g_autoptr (GPtrArray) all = needs (f, now);
+  g_autoptr (GArray) candidates = g_array_new (FALSE, FALSE, sizeof (Candidate));
+  g_autofree double *have = g_new0 (double, all->len + 1), *least = g_new0 (double, all->len + 1);
+  double total = 0, ease = 1 - exp (-1.0 / 12);
+
+  for (guint i = 0; i < all->len; i++)
+    {
+      have[i] = supply (f, all->pdata[i], now);
+      least[i] = cheapest (f, all->pdata[i], FALSE);
+      total += wanted (all->pdata[i], 1);
+    }
+  f->usual += (total - f->usual) * ease; /* called once a second */
+  for (guint i = 0; i < f->machines->all->len; i++)
+    {
+      HzbMachine *m = f->machines->all->pdata[i];
+      Candidate c = { m, 0 };
+      if (m->state != HZB_MACHINE_ACTIVE || m->spare || m->wanted_back || !m->type)
+        continue;
+      c.price = (m->spot ? m->type->spot_price : m->type->price) / MAX (m->type->cpus, 1e-3);
+      g_array_append_val (candidates, c);
+    }
+  g_array_sort (candidates, dearest_first);
+  for (guint k = 0; k < candidates->len; k++)
+    {
+      HzbMachine *m = g_array_index (candidates, Candidate, k).m;
+      gboolean surplus = TRUE;
+      for (guint i = 0; i < all->len && surplus; i++)
+        {
+          const Need *need = all->pdata[i];
+          double want;
+          if (!kind_fits (m->type, m->zone, m->spot, need->spec))
+            continue;
+          /* More than the present need if there usually is more: jobs come in lumps. */
+          want = wanted (need, unit_price (m->type, m->spot, need) / least[i]) * MAX (1, f->usual / MAX (total, 1));
+          surplus = have[i] - useful_units (m->type, need) >= want * 1.1 + 2;
+        }
+      if (!surplus)
+        {
+          m->surplus = 0;
+          continue;
+        }
+      if (++m->surplus < 4)
+        continue;
+      g_debug ("machine %s is spare", m->name);
+      m->spare = TRUE;
+      for (guint i = 0; i < all->len; i++)
+        if (kind_fits (m->type, m->zone, m->spot, ((Need *) all->pdata[i])->spec))
+          have[i] -= useful_units (m->type, all->pdata[i]);
+    }
+}
+
 GPtrArray *
 hzb_fleet_returns (HzbFleet *f, struct timespec now)
 {
   GPtrArray *out = g_ptr_array_new ();
-  gboolean waiting = FALSE;
 
-  for (guint i = 0; i < f->jobs->active->len; i++)
-    {
-      const HzbJob *job = f->jobs->active->pdata[i];
-      if (job->state == HZB_JOB_ACCEPTED && (job->unknown || job->listed || job->spec->gang))
-        waiting = TRUE;
-    }
+  mark_spare (f, now);
   for (guint i = 0; i < f->machines->all->len; i++)
     {
       HzbMachine *m = f->machines->all->pdata[i];
       double age = hzb_time_between (m->rented, now), idle = hzb_time_between (m->idle_since, now);
       if (m->wanted_back)
         continue;
+      if (m->spare && hzb_machine_listed (m))
+        hzb_machine_empty_lists (f->jobs, m);
       if (m->state == HZB_MACHINE_ACTIVE && m->tasks->len == 0 && hzb_machine_listed (m) == 0
-          && idle > (waiting ? 2.5 * f->idle_s : f->idle_s) && age > 55)
+          && age > 55 /* the first minute is paid in any case */ && (m->spare ? idle > 2 : idle > 40))
         g_ptr_array_add (out, m);
-      else if (m->state == HZB_MACHINE_BOOTING && m->type && age > MAX (40, 4 * m->type->boot_s))
+      else if (m->state == HZB_MACHINE_BOOTING && m->type && age > MAX (40, 2.2 * m->type->boot_s))
         g_ptr_array_add (out, m); /* some never come up */
       else if (m->state == HZB_MACHINE_BOOTING && !m->type && age > 300)
         g_ptr_array_add (out, m);
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -16,8 +16,8 @@
   HzbMachines *machines;
   const HzbSettings *settings;
   GHashTable *refused; /* "type zone kind" -> HzbRefusal */
-  double horizon_s;    /* waiting work should be over within this */
-  double idle_s;       /* a machine without work is kept this long */
+  double default_s;    /* a job of a class without aims should be over within this */
+  double usual;        /* units wanted, smoothed */
 } HzbFleet;
 
 HzbFleet *hzb_fleet_new (HzbJobs *jobs, HzbMachines *machines, const HzbSettings *settings);
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -193,6 +193,8 @@
   job->pending = job->n_tasks;
   job->next_attempt = jobs->block->term << 20;
   job->since = now;
+  g_message ("job %s (%s, %s): %u tasks of %g CPUs, %g GB, %g s expected, image %s", job->uid, job->spec->lane,
+             job->spec->team, job->n_tasks, job->spec->cpus, job->spec->memory_gb, job->spec->estimate_s, job->spec->image);
   g_ptr_array_add (jobs->active, job);
   g_ptr_array_sort (jobs->active, by_age);
 }
--- a/src/machines.c
+++ b/src/machines.c
@@ -213,7 +213,7 @@
 gboolean
 hzb_machine_usable (const HzbMachine *m)
 {
-  return m->state == HZB_MACHINE_ACTIVE && m->recorded && m->type && !m->wanted_back;
+  return m->state == HZB_MACHINE_ACTIVE && m->recorded && m->type && !m->wanted_back && !m->spare;
 }
 
 gboolean
