--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -15,6 +15,8 @@
   d->machines = machines;
   d->settings = settings;
   d->rand = rand;
+  d->ahead_cpus = g_new0 (double, settings->teams->len * HZB_N_CLASSES);
+  d->ahead_gpus = g_new0 (double, settings->teams->len * HZB_N_CLASSES);
   d->h = 0.5;
   d->sample = 8;
   return d;
@@ -23,6 +25,8 @@
 void
 hzb_dispatch_free (HzbDispatch *d)
 {
+  g_free (d->ahead_cpus);
+  g_free (d->ahead_gpus);
   g_free (d);
 }
 
@@ -300,6 +304,67 @@
   return FALSE;
 }
 
+static double preempt_after_s (HzbDispatch *d, const HzbJob *job);
+
+/* What stopping the task would cost, in seconds of its work; above 1e9: it is not to be stopped. */
+static double
+stop_cost (const HzbTask *task, struct timespec now)
+{
+  const HzbSpec *spec = task->job->spec;
+  if (task->stopping || spec->gang || (task->state != HZB_TASK_RUNNING && task->state != HZB_TASK_FETCHING))
+    return INFINITY;
+  if (task->state == HZB_TASK_FETCHING)
+    return 0;
+  if (remaining_s (task, now) < NEARLY_DONE_S)
+    return INFINITY;
+  return (spec->checkpoint_s > 0 ? spec->save_s : hzb_time_between (task->since, now)) * spec->cpus;
+}
+
+/* Urgent tasks that their own team's limit keeps waiting: lower work of the team gives way. Its stop is sent
+ * with the answer to its machine's next report. */
+static void
+make_room_in_team (HzbDispatch *d, const HzbJob *needy, struct timespec now)
+{
+  const HzbBlock *block = d->jobs->block;
+  int team = needy->team;
+  double lack, limit = block->cpus_allowed[team];
+
+  if (needy->spec->gang || hzb_time_between (needy->since, now) < preempt_after_s (d, needy))
+    return;
+  lack = block->cpus[team] + MIN ((needy->pending + needy->listed) * needy->spec->cpus, limit) - limit;
+  for (guint i = 0; i < d->jobs->active->len && lack > 1e-6; i++)
+    {
+      const HzbJob *job = d->jobs->active->pdata[i];
+      for (guint k = 0; job->team == team && job->placed && k < job->n_tasks; k++)
+        if (job->tasks[k].stopping)
+          lack -= job->spec->cpus;
+    }
+  while (lack > 1e-6)
+    {
+      HzbTask *victim = NULL;
+      double least = 1e9;
+      for (guint i = 0; i < d->jobs->active->len; i++)
+        {
+          const HzbJob *job = d->jobs->active->pdata[i];
+          if (job->team != team || job->spec->urgency >= needy->spec->urgency)
+            continue;
+          for (guint k = 0; job->placed && k < job->n_tasks; k++)
+            {
+              double cost = stop_cost (&job->tasks[k], now) / MAX (job->spec->cpus, 1e-3) + job->spec->urgency * 1e4;
+              if (cost < least)
+                {
+                  least = cost;
+                  victim = &job->tasks[k];
+                }
+            }
+        }
+      if (!victim)
+        return;
+      victim->stopping = TRUE;
+      lack -= victim->job->spec->cpus;
+    }
+}
+
 void
 hzb_dispatch_run (HzbDispatch *d, struct timespec now)
 {
@@ -315,11 +380,20 @@
       if (m->stale_estimate && hzb_machine_usable (m))
         hzb_dispatch_rebook (d, m, now);
     }
+  memset (d->ahead_cpus, 0, n * HZB_N_CLASSES * sizeof (double));
+  memset (d->ahead_gpus, 0, n * HZB_N_CLASSES * sizeof (double));
   for (guint i = 0; i < d->jobs->active->len; i++)
     {
       HzbJob *job = d->jobs->active->pdata[i];
-      if (job->state == HZB_JOB_ACCEPTED && (job->pending || job->listed))
-        g_ptr_array_add (order, job);
+      guint at;
+      if (job->state != HZB_JOB_ACCEPTED || !(job->pending || job->listed))
+        continue;
+      g_ptr_array_add (order, job);
+      if (hzb_time_before (now, job->not_before) || job->failures)
+        continue; /* what can't start now keeps nothing from others */
+      at = (guint) job->team * HZB_N_CLASSES + hzb_job_class (job);
+      d->ahead_cpus[at] += (job->pending + job->listed) * job->spec->cpus;
+      d->ahead_gpus[at] += (job->pending + job->listed) * job->spec->gpus;
     }
   g_ptr_array_sort (order, by_class);
   for (guint i = 0; i < order->len && budget; i++)
@@ -337,6 +411,9 @@
           place_gang (d, job, now);
           continue;
         }
+      if (spec->urgency >= HZB_URGENCY_HIGH
+          && !hzb_block_fits (block, job->team, cpus[job->team] + spec->cpus, gpus[job->team] + spec->gpus))
+        make_room_in_team (d, job, now);
       /* Only as much goes to lists as the team may use: what waits for its limit holds nobody up. */
       while (budget && hzb_block_fits (block, job->team, cpus[job->team] + spec->cpus, gpus[job->team] + spec->gpus))
         {
@@ -362,12 +439,25 @@
 
 /* ---- at a report ---- */
 
+/* Guards against a team's limit being filled, as it frees up, by whichever machine reports first: what its
+ * more pressing tasks wait for is kept for them. */
+static gboolean
+team_may_use (HzbDispatch *d, const HzbJob *job)
+{
+  const double *cpus = d->ahead_cpus + job->team * HZB_N_CLASSES, *gpus = d->ahead_gpus + job->team * HZB_N_CLASSES;
+  double kept_cpus = 0, kept_gpus = 0;
+  for (guint c = hzb_job_class (job) + 1; c < HZB_N_CLASSES; c++)
+    {
+      kept_cpus += cpus[c];
+      kept_gpus += gpus[c];
+    }
+  return hzb_block_fits (d->jobs->block, job->team, job->spec->cpus + kept_cpus, job->spec->gpus + kept_gpus);
+}
+
 static gboolean
 startable (HzbDispatch *d, const HzbTask *task, const HzbMachine *m)
 {
-  const HzbSpec *spec = task->job->spec;
-  return task->job->state == HZB_JOB_ACCEPTED && hzb_block_fits (d->jobs->block, task->job->team, spec->cpus, spec->gpus)
-         && zone_allowed (task->job, m);
+  return task->job->state == HZB_JOB_ACCEPTED && team_may_use (d, task->job) && zone_allowed (task->job, m);
 }
 
 static void
@@ -386,7 +476,12 @@
     task->attempt = ++task->job->next_attempt;
   order.attempt = task->attempt;
   if (hzb_task_set_state (d->jobs, task, HZB_TASK_STARTING, m))
-    g_array_append_val (orders, order);
+    {
+      guint at = (guint) task->job->team * HZB_N_CLASSES + hzb_job_class (task->job);
+      d->ahead_cpus[at] = MAX (0, d->ahead_cpus[at] - task->job->spec->cpus);
+      d->ahead_gpus[at] = MAX (0, d->ahead_gpus[at] - task->job->spec->gpus);
+      g_array_append_val (orders, order);
+    }
 }
 
 /* The unstarted task that the machine should take from another's list. */
@@ -473,15 +568,10 @@
             for (guint i = 0; i < m->tasks->len; i++)
               {
                 HzbTask *task = m->tasks->pdata[i];
-                const HzbSpec *other = task->job->spec;
-                double ran = hzb_time_between (task->since, now), cost;
-                if (task->stopping || other->gang || (task->state != HZB_TASK_RUNNING && task->state != HZB_TASK_FETCHING)
-                    || (own && task->job->team != needy->job->team) || !may_preempt (d, needy->job, task))
-                  continue;
-                if (task->state == HZB_TASK_RUNNING && remaining_s (task, now) < NEARLY_DONE_S)
+                double cost = stop_cost (task, now);
+                if (!isfinite (cost) || (own && task->job->team != needy->job->team) || !may_preempt (d, needy->job, task))
                   continue;
-                cost = task->state == HZB_TASK_FETCHING ? 0 : other->checkpoint_s > 0 ? other->save_s : ran;
-                cost += other->urgency * 1000.0;
+                cost += task->job->spec->urgency * 1e4;
                 if (cost < least)
                   {
                     least = cost;
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -12,7 +12,7 @@
   double h;
   guint sample;         /* machines looked at for one task when lagging; 0: all */
   gboolean lagging;     /* more is asked than can be done: samples in place of full searches */
-  struct timespec next_preempt;
+  double *ahead_cpus, *ahead_gpus; /* [team][class]: what waits and goes first */
 } HzbDispatch;
 
 HzbDispatch *hzb_dispatch_new (HzbJobs *jobs, HzbMachines *machines, const HzbSettings *settings, GRand *rand);
