--- a/src/controller.c
+++ b/src/controller.c
@@ -926,7 +926,6 @@
             ((HzbMachine *) back->pdata[i])->wanted_back = TRUE;
         }
       rent (c, now);
-      hzb_dispatch_guarantees (c->dispatch);
     }
   if (!hzb_time_before (now, c->next_summary))
     {
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -71,7 +71,7 @@
   for (guint i = 0; i < m->tasks->len; i++)
     {
       const HzbTask *task = m->tasks->pdata[i];
-      guint class = hzb_job_class (task->job), v = MAX (1, hzb_type_speed (m->type, task->job->spec));
+      guint class = task->job->class, v = MAX (1, hzb_type_speed (m->type, task->job->spec));
       double work = remaining_s (task, now) / v;
       for (guint c = 0; c < HZB_N_CLASSES; c++)
         booked[c] += c <= class ? work : work * PREEMPTIBLE_PART;
@@ -123,7 +123,7 @@
 HzbMachine *
 hzb_dispatch_choose (HzbDispatch *d, HzbJob *job, struct timespec now)
 {
-  guint n = d->machines->all->len, class = hzb_job_class (job);
+  guint n = d->machines->all->len, class = job->class;
   guint looks = d->lagging && d->sample < n ? d->sample : n;
   guint first = looks < n ? (guint) g_rand_int_range (d->rand, 0, (gint32) n) : 0;
   guint step = 1;
@@ -156,7 +156,7 @@
 static void
 put_on_list (HzbDispatch *d, HzbTask *task, HzbMachine *m, struct timespec now)
 {
-  guint class = hzb_job_class (task->job);
+  guint class = task->job->class;
   double mean = hzb_job_mean_s (task->job) / MAX (1, hzb_type_speed (m->type, task->job->spec));
 
   hzb_task_set_state (d->jobs, task, HZB_TASK_LISTED, m);
@@ -167,9 +167,60 @@
     }
 }
 
-/* A job is within its team's guarantee when it fits there together with the team's earlier unfinished jobs. */
+double
+hzb_job_slack_s (const HzbSettings *settings, const HzbJob *job, struct timespec now, double *aim)
+{
+  double mean = hzb_job_mean_s (job), age = hzb_time_between (job->since, now), least = INFINITY, allows = 120;
+
+  for (guint i = 0; i < settings->objectives->len; i++)
+    {
+      const HzbObjective *o = settings->objectives->pdata[i];
+      double by;
+      if (g_strcmp0 (o->lane, job->spec->lane) != 0)
+        continue;
+      if (g_str_equal (o->kind, "finished"))
+        by = o->within_s - 1.3 * mean;
+      else if (g_str_equal (o->kind, "wait"))
+        by = o->within_s;
+      else if (g_str_equal (o->kind, "deadline") && job->spec->deadline_s > 0)
+        by = job->spec->deadline_s * MAX (o->times, 1) - 1.3 * mean;
+      else
+        continue;
+      if (by > age && by - age < least)
+        {
+          least = by - age;
+          allows = by;
+        }
+    }
+  if (aim)
+    *aim = allows;
+  return isfinite (least) ? least : MAX (120 - 1.3 * mean, 10);
+}
+
+/* High priorities come first, then what a team is guaranteed, then what will miss its aim unless it starts
+ * soon, then the rest by priority. */
+static guint
+class_of (const HzbSettings *settings, const HzbJob *job, struct timespec now)
+{
+  double aim, slack = hzb_job_slack_s (settings, job, now, &aim);
+  switch (job->spec->urgency)
+    {
+    case HZB_URGENCY_PRODUCTION:
+      return 7;
+    case HZB_URGENCY_HIGH:
+      return job->guaranteed ? 6 : 5;
+    default:
+      if (job->guaranteed)
+        return job->spec->urgency == HZB_URGENCY_NORMAL ? 4 : 3;
+      /* Once pressing it stays so, or it would move back and forth as an aim is passed. */
+      if (job->class == 2 || slack < 0.25 * aim)
+        return 2;
+      return job->spec->urgency == HZB_URGENCY_NORMAL ? 1 : 0;
+    }
+}
+
 void
-hzb_dispatch_guarantees (HzbDispatch *d)
+hzb_dispatch_classes (HzbDispatch *d, struct timespec now)
 {
   guint n = d->settings->teams->len;
   g_autofree double *cpus = g_new0 (double, n), *gpus = g_new0 (double, n);
@@ -178,19 +229,21 @@
     {
       HzbJob *job = d->jobs->active->pdata[i];
       const HzbTeam *team = d->settings->teams->pdata[job->team];
-      gboolean guaranteed;
+      guint class;
       if (job->state != HZB_JOB_ACCEPTED)
         continue;
+      /* Within its team's guarantee when it fits there together with the team's earlier unfinished jobs. */
       cpus[job->team] += job->spec->cpus * job->n_tasks;
       gpus[job->team] += job->spec->gpus * job->n_tasks;
-      guaranteed = cpus[job->team] <= team->cpus + 1e-6 && gpus[job->team] <= team->gpus + 1e-6;
-      if (guaranteed != job->guaranteed)
+      job->guaranteed = cpus[job->team] <= team->cpus + 1e-6 && gpus[job->team] <= team->gpus + 1e-6;
+      class = class_of (d->settings, job, now);
+      if (class != job->class)
         {
-          /* Its class changes: what waits in lists goes through them anew. */
+          /* What waits in lists goes through them anew. */
           for (guint k = 0; job->listed && k < job->n_tasks; k++)
             if (job->tasks[k].state == HZB_TASK_LISTED)
               hzb_task_set_state (d->jobs, &job->tasks[k], HZB_TASK_PENDING, NULL);
-          job->guaranteed = guaranteed;
+          job->class = (guint8) class;
         }
     }
 }
@@ -199,7 +252,7 @@
 by_class (gconstpointer a, gconstpointer b)
 {
   const HzbJob *x = *(HzbJob *const *) a, *y = *(HzbJob *const *) b;
-  int order = (int) hzb_job_class (y) - (int) hzb_job_class (x);
+  int order = (int) y->class - (int) x->class;
   if (order)
     return order;
   if (hzb_time_before (x->accepted, y->accepted))
@@ -255,8 +308,8 @@
                   || m->gpus + spec->gpus * (taken[i] + 1) > m->type->gpus + 1e-6
                   || m->memory + spec->memory_gb * (taken[i] + 1) > m->type->memory_gb + 1e-6)
                 continue;
-              hzb_estimate_shift (&m->estimates[hzb_job_class (job)], now);
-              cost = hzb_estimate_mean (&m->estimates[hzb_job_class (job)]) + fetch_s (m, spec);
+              hzb_estimate_shift (&m->estimates[job->class], now);
+              cost = hzb_estimate_mean (&m->estimates[job->class]) + fetch_s (m, spec);
               if (cost < least)
                 {
                   least = cost;
@@ -297,7 +350,7 @@
     {
       const HzbJob *job = d->jobs->active->pdata[i];
       if (job->spec->gang && job->state == HZB_JOB_ACCEPTED && job->pending == job->n_tasks
-          && hzb_job_class (job) >= class && !hzb_time_before (now, job->not_before)
+          && job->class >= class && !hzb_time_before (now, job->not_before)
           && hzb_machine_allowed (m, job->spec) && hzb_time_between (job->since, now) > 5)
         return TRUE;
     }
@@ -374,6 +427,7 @@
   g_autofree double *cpus = g_new0 (double, n), *gpus = g_new0 (double, n);
   guint budget = d->lagging ? 50 : 400;
 
+  hzb_dispatch_classes (d, now);
   for (guint i = 0; i < d->machines->all->len; i++)
     {
       HzbMachine *m = d->machines->all->pdata[i];
@@ -391,7 +445,7 @@
       g_ptr_array_add (order, job);
       if (hzb_time_before (now, job->not_before) || job->failures)
         continue; /* what can't start now keeps nothing from others */
-      at = (guint) job->team * HZB_N_CLASSES + hzb_job_class (job);
+      at = (guint) job->team * HZB_N_CLASSES + job->class;
       d->ahead_cpus[at] += (job->pending + job->listed) * job->spec->cpus;
       d->ahead_gpus[at] += (job->pending + job->listed) * job->spec->gpus;
     }
@@ -446,7 +500,7 @@
 {
   const double *cpus = d->ahead_cpus + job->team * HZB_N_CLASSES, *gpus = d->ahead_gpus + job->team * HZB_N_CLASSES;
   double kept_cpus = 0, kept_gpus = 0;
-  for (guint c = hzb_job_class (job) + 1; c < HZB_N_CLASSES; c++)
+  for (guint c = job->class + 1; c < HZB_N_CLASSES; c++)
     {
       kept_cpus += cpus[c];
       kept_gpus += gpus[c];
@@ -477,7 +531,7 @@
   order.attempt = task->attempt;
   if (hzb_task_set_state (d->jobs, task, HZB_TASK_STARTING, m))
     {
-      guint at = (guint) task->job->team * HZB_N_CLASSES + hzb_job_class (task->job);
+      guint at = (guint) task->job->team * HZB_N_CLASSES + task->job->class;
       d->ahead_cpus[at] = MAX (0, d->ahead_cpus[at] - task->job->spec->cpus);
       d->ahead_gpus[at] = MAX (0, d->ahead_gpus[at] - task->job->spec->gpus);
       g_array_append_val (orders, order);
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -27,4 +27,8 @@
 /* Orders for a machine that has just reported. */
 void hzb_dispatch_fill (HzbDispatch *dispatch, HzbMachine *machine, struct timespec now, GArray *orders);
 double hzb_job_mean_s (const HzbJob *job);
-void hzb_dispatch_guarantees (HzbDispatch *dispatch);
+/* The classes of waiting work, from priorities, guarantees and what the aims leave of time. */
+void hzb_dispatch_classes (HzbDispatch *dispatch, struct timespec now);
+/* How long from now the job's tasks may start so that the nearest aim not yet missed is met; *aim gets what
+ * the aim allows in all. Far ahead for a job without aims. */
+double hzb_job_slack_s (const HzbSettings *settings, const HzbJob *job, struct timespec now, double *aim);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -15,6 +15,7 @@
   double work_s;  /* unit-seconds left */
   double at_once; /* units that can be in use at once */
   double within_s; /* how soon its tasks should all have started */
+  double unit;     /* of one task */
 } Part;
 
 /* Work that the same machines may do. Its unit is the CPU, or the GPU where it uses any. */
@@ -35,7 +36,6 @@
   f->machines = machines;
   f->settings = settings;
   f->refused = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  f->default_s = 120;
   return f;
 }
 
@@ -90,35 +90,22 @@
   return (int) strlen (y->name) - (int) strlen (x->name);
 }
 
-/* Within what time from now all of a job's tasks should have been started: from the aims of its class and
- * from its deadline. A job that is late already is treated as one with no aim. */
+/* Within what time from now all of a job's tasks should have been started. */
 static double
 start_within_s (HzbFleet *f, const HzbJob *job, struct timespec now)
 {
-  double mean = hzb_job_mean_s (job), age = hzb_time_between (job->since, now), least = f->default_s - 1.3 * mean;
-  gboolean aimed = FALSE;
+  double slack = hzb_job_slack_s (f->settings, job, now, NULL);
+  return CLAMP (0.6 * slack, 10, 150);
+}
 
-  for (guint i = 0; i < f->settings->objectives->len; i++)
-    {
-      const HzbObjective *o = f->settings->objectives->pdata[i];
-      double by;
-      if (g_strcmp0 (o->lane, job->spec->lane) != 0)
-        continue;
-      if (g_str_equal (o->kind, "finished"))
-        by = o->within_s - 1.3 * mean;
-      else if (g_str_equal (o->kind, "wait"))
-        by = o->within_s;
-      else if (g_str_equal (o->kind, "deadline") && job->spec->deadline_s > 0)
-        by = job->spec->deadline_s * MAX (o->times, 1) - 1.3 * mean;
-      else
-        continue;
-      if (by - age > 0)
-        {
-          least = aimed ? MIN (least, by - age) : by - age;
-          aimed = TRUE;
-        }
-    }
-  return CLAMP (0.6 * least, 10, 150);
+static char *
+types_holding (HzbFleet *f, const HzbSpec *spec)
+{
+  GString *names = g_string_new (NULL);
+  for (guint t = 0; f->machines->types && t < f->machines->types->len; t++)
+    if (hzb_type_holds (f->machines->types->pdata[t], spec))
+      g_string_append_printf (names, "%s,", ((HzbMachineType *) f->machines->types->pdata[t])->name);
+  return g_string_free (names, FALSE);
 }
 
 static GPtrArray *
@@ -153,7 +140,8 @@
         continue;
       cpus_left[job->team] -= at_once * spec->cpus;
       gpus_left[job->team] -= at_once * spec->gpus;
-      types = spec->types ? g_strjoinv (",", spec->types) : g_strdup ("");
+      /* By what holds a task, not by what it names: a large task is not served by small machines. */
+      types = types_holding (f, spec);
       name = g_strdup_printf ("%s%s%s%s%s", types, spec->zone ? "@" : "", spec->zone ? spec->zone : "",
                               spec->spot ? "" : "!ordinary", spec->gpus > 0 ? "!gpus" : "");
       for (guint k = 0; k < all->len && !need; k++)
@@ -169,6 +157,7 @@
           g_ptr_array_add (all, need);
         }
       unit = need->gpus ? spec->gpus : spec->cpus;
+      part.unit = unit;
       part.at_once = at_once * unit;
       /* A task that runs is half over on the whole; a gang's tasks are needed together. */
       part.work_s = (tasks - job->placed * 0.5) * unit * hzb_job_mean_s (job);
@@ -186,13 +175,15 @@
 static double
 wanted (const Need *need, double dearness)
 {
-  double sum = 0, slack = cbrt (MAX (dearness, 1));
+  double sum = 0, slack = cbrt (MAX (dearness, 1)), least = 0;
   for (guint i = 0; i < need->parts->len; i++)
     {
       const Part *part = &g_array_index (need->parts, Part, i);
       sum += part->within_s > 0 ? MIN (part->at_once, part->work_s / (part->within_s * slack)) : part->at_once;
+      least = MAX (least, part->unit);
     }
-  return sum;
+  /* However little work there is, it needs room for its largest task, at any price. */
+  return MAX (sum, least);
 }
 
 /* What of a machine this work can use. */
@@ -326,7 +317,7 @@
             break;
           units = useful_units (best, need);
           lack = wanted (need, least / least_price) - have;
-          if (lack < MIN (1, units * 0.25))
+          if (lack < (have > 0 ? MIN (1, units * 0.25) : 1e-6))
             break; /* what is dearer is wanted still less */
           rental = (HzbRental){ best, best_zone, best_spot, (guint) CLAMP (ceil (lack / units - 0.25), 1, 50) };
           g_array_append_val (out, rental);
@@ -362,6 +353,8 @@
   g_autofree double *have = g_new0 (double, all->len + 1), *least = g_new0 (double, all->len + 1);
   double total = 0, ease = 1 - exp (-1.0 / 12);
 
+  if (!f->machines->types)
+    return; /* a node may lead before the cloud has told it of the types */
   for (guint i = 0; i < all->len; i++)
     {
       have[i] = supply (f, all->pdata[i], now);
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -16,7 +16,6 @@
   HzbMachines *machines;
   const HzbSettings *settings;
   GHashTable *refused; /* "type zone kind" -> HzbRefusal */
-  double default_s;    /* a job of a class without aims should be over within this */
   double usual;        /* units wanted, smoothed */
 } HzbFleet;
 
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -70,6 +70,7 @@
   gboolean dirty, ending;    /* progress to be written; end being written */
   gboolean has_progress;     /* a progress record may exist */
   gboolean guaranteed;
+  guint8 class; /* of waiting work, see hzb_dispatch_classes() */
   guint64 next_attempt;
   guint failures; /* in a row, without a task of the job doing well */
   struct timespec not_before, since;
--- a/src/machines.c
+++ b/src/machines.c
@@ -162,23 +162,10 @@
   return value;
 }
 
-guint
-hzb_job_class (const HzbJob *job)
-{
-  /* What must start soon goes first: high priorities, then what a team is guaranteed, then the rest. */
-  static const guint8 classes[HZB_N_URGENCIES][2] = {
-    [HZB_URGENCY_PRODUCTION] = { 7, 7 },
-    [HZB_URGENCY_HIGH] = { 5, 6 },
-    [HZB_URGENCY_NORMAL] = { 1, 4 },
-    [HZB_URGENCY_IDLE] = { 0, 3 },
-  };
-  return classes[job->spec->urgency][job->guaranteed ? 1 : 0];
-}
-
 void
 hzb_machine_list (HzbMachine *machine, HzbTask *task)
 {
-  g_queue_push_tail (&machine->lists[hzb_job_class (task->job)], task);
+  g_queue_push_tail (&machine->lists[task->job->class], task);
 }
 
 void
--- a/src/machines.h
+++ b/src/machines.h
@@ -18,7 +18,7 @@
   HZB_MACHINE_N_STATES
 } HzbMachineState;
 
-/* Classes of waiting work, first served first. See hzb_job_class(). */
+/* Classes of waiting work, the highest served first. See hzb_dispatch_classes(). */
 #define HZB_N_CLASSES 8
 
 struct _HzbMachine
@@ -75,7 +75,6 @@
 void hzb_machine_add (HzbMachine *machine, HzbTask *task);
 void hzb_machine_remove (HzbMachine *machine, HzbTask *task);
 
-guint hzb_job_class (const HzbJob *job);
 gboolean hzb_machine_usable (const HzbMachine *machine);
 gboolean hzb_type_holds (const HzbMachineType *type, const HzbSpec *spec);
 guint hzb_type_speed (const HzbMachineType *type, const HzbSpec *spec); /* v: how many such tasks it holds */
--- a/tests/support.h
+++ b/tests/support.h
@@ -101,6 +101,7 @@
   job = hzb_jobs_apply (b->jobs, spec->uid, value, ++b->made);
   cJSON_Delete (value);
   job->released = job->releasing = tasks;
+  hzb_dispatch_classes (b->dispatch, hzb_clock_now (b->clock));
   return job;
 }
 
--- a/tests/test-dispatch.c
+++ b/tests/test-dispatch.c
@@ -13,7 +13,7 @@
   for (guint i = 0; i < b->machines->all->len; i++)
     {
       HzbMachine *m = b->machines->all->pdata[i];
-      HzbEstimate *e = &m->estimates[hzb_job_class (job)];
+      HzbEstimate *e = &m->estimates[job->class];
       double u = 0, v = floor (m->type->cpus / spec->cpus + 1e-9);
       if (m->state != HZB_MACHINE_ACTIVE || (spec->zone && strcmp (spec->zone, m->zone)) || (m->spot && !spec->spot))
         continue;
@@ -59,11 +59,11 @@
             {
               /* Rounding may tell equals apart: what counts is that no machine is better. */
               double v = hzb_type_speed (m->type, job->spec);
-              g_assert_cmpfloat_with_epsilon (hzb_estimate_mean (&m->estimates[hzb_job_class (job)])
+              g_assert_cmpfloat_with_epsilon (hzb_estimate_mean (&m->estimates[job->class])
                                                   + b.dispatch->h * job->spec->estimate_s / v,
                                               least, 1e-3);
               hzb_task_set_state (b.jobs, hzb_job_next_pending (job, hzb_clock_now (b.clock)), HZB_TASK_LISTED, m);
-              for (guint c = 0; c <= hzb_job_class (job); c++)
+              for (guint c = 0; c <= job->class; c++)
                 hzb_estimate_send (&m->estimates[c], job->spec->estimate_s / v);
             }
           hzb_clock_advance (b.clock, g_rand_int_range (b.rand, 0, 4));
@@ -227,6 +227,31 @@
   bench_down (&b);
 }
 
+/* Guards against two ways in which work once waited for ever: so little of it that the part of a machine it
+ * was worth came to nothing, and a large task counted as served by machines too small for it. */
+static void
+test_rentals_for_little (void)
+{
+  Bench b;
+  HzbFleet *fleet;
+  g_autoptr (GArray) rentals = NULL;
+  gboolean big = FALSE;
+  bench_up (&b, 3);
+  fleet = hzb_fleet_new (b.jobs, b.machines, b.settings);
+  bench_job (&b, "red", HZB_URGENCY_IDLE, 1, 0.5, 0.2);
+  rentals = hzb_fleet_rentals (fleet, hzb_clock_now (b.clock));
+  g_assert_cmpuint (rentals->len, ==, 1);
+  bench_machine (&b, "small", "za", TRUE);
+  bench_job (&b, "red", HZB_URGENCY_IDLE, 1, 12, 1);
+  g_array_unref (g_steal_pointer (&rentals));
+  rentals = hzb_fleet_rentals (fleet, hzb_clock_now (b.clock));
+  for (guint i = 0; i < rentals->len; i++)
+    big = big || g_str_equal (g_array_index (rentals, HzbRental, i).type->name, "big");
+  g_assert_true (big);
+  hzb_fleet_free (fleet);
+  bench_down (&b);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -238,5 +263,6 @@
   g_test_add_func ("/dispatch/preemption", test_preemption);
   g_test_add_func ("/dispatch/gang", test_gang);
   g_test_add_func ("/fleet/rentals", test_rentals);
+  g_test_add_func ("/fleet/rentals-for-little", test_rentals_for_little);
   return g_test_run ();
 }
