A machine that lists no longer show is gone at once

The protocol says that a listed machine stays listed until it is gone and bounds a list's age, so absence of a machine known for longer proves it.

--- a/src/controller.c
+++ b/src/controller.c
@@ -1,5 +1,6 @@
 #include "controller.h"
 
+#include <math.h>
 #include <string.h>
 
 #define WATCH_MS 2000
@@ -261,9 +262,15 @@
           const char *name = item->key + strlen (HZB_KEY_MACHINES);
           const char *type = hzb_json_text (item->value, "type"), *zone = hzb_json_text (item->value, "zone");
           if (!hzb_machines_find (c->machines, name) && type && zone)
-            hzb_machines_add (c->machines, name, hzb_json_text (item->value, "addr"), type, zone,
-                              cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (item->value, "spot")), HZB_MACHINE_UNHEARD)
-                ->recorded = TRUE;
+            {
+              HzbMachine *m = hzb_machines_add (c->machines, name, hzb_json_text (item->value, "addr"), type, zone,
+                                                cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (item->value, "spot")),
+                                                HZB_MACHINE_UNHEARD);
+              double age = (double) hzb_clock_wall (c->clock).tv_sec - hzb_json_number (item->value, "at", INFINITY);
+              m->recorded = TRUE;
+              if (age > 1)
+                m->rented = hzb_time_plus (m->rented, -(age - 1)); /* times of day differ a little */
+            }
         }
       else if (g_str_has_prefix (item->key, HZB_KEY_PROGRESS))
         take_progress (c, item->key + strlen (HZB_KEY_PROGRESS), item->value);
@@ -291,6 +298,8 @@
   c->rent_number = 0;
   c->renting = c->returning = 0;
   c->listing = FALSE;
+  g_clear_pointer (&c->list_after, g_free);
+  c->next_list = c->next_return = (struct timespec){ 0 };
   g_clear_pointer (&c->hold_after, g_free);
   g_ptr_array_set_size (c->forget_keys, 0);
   hzb_machines_clear (c->machines);
@@ -499,7 +508,7 @@
       if (m->recorded || m->recording || !m->session)
         continue;
       m->recording = TRUE;
-      hzb_wire_txn_put (txn, key, hzb_machine_pack (m), 0);
+      hzb_wire_txn_put (txn, key, hzb_machine_pack (m, hzb_clock_wall (c->clock)), 0);
       g_ptr_array_add (out->machines, g_strdup (m->name));
       room--;
     }
@@ -770,6 +779,27 @@
   hzb_cloud_return (c->cloud, names, on_returned, held_new (c, names));
 }
 
+/* Once listed, a machine stays listed until it is gone, and a list is at most twice the lag old: what has been
+ * there for longer than that and is not in a list that was asked for now is gone, with all that was on it. */
+static void
+drop_unlisted (HzbController *c, struct timespec now)
+{
+  double known = 3 * c->settings->list_lag_s + 5;
+
+  for (guint i = c->machines->all->len; i-- > 0;)
+    {
+      HzbMachine *m = c->machines->all->pdata[i];
+      if (g_hash_table_contains (c->listed, m->name) || m->state == HZB_MACHINE_RETURNING
+          || hzb_time_between (m->rented, c->list_began) < known)
+        continue;
+      /* One that has just reported is there, whatever the list says. */
+      if (hzb_time_is_set (m->heard) && hzb_time_between (m->heard, now) < 1.5 * c->settings->report_s + 1)
+        continue;
+      hzb_machine_set_state (c->machines, m, HZB_MACHINE_RETURNING, "the cloud lists it no more");
+      machine_is_gone (c, m);
+    }
+}
+
 static void
 on_listed (guint status, const char *body, gsize length, gpointer user)
 {
@@ -782,6 +812,8 @@
   if (held->epoch != c->hold_epoch)
     return;
   c->listing = FALSE;
+  if (!c->list_after)
+    g_hash_table_remove_all (c->listed);
   g_clear_pointer (&c->list_after, g_free);
   for (guint i = 0; listed && i < listed->len; i++)
     {
@@ -789,6 +821,7 @@
       HzbMachine *m = hzb_machines_find (c->machines, l->name);
       g_free (c->list_after);
       c->list_after = g_strdup (l->name);
+      g_hash_table_add (c->listed, g_strdup (l->name));
       if (g_hash_table_contains (c->gone, l->name) || !l->type || !l->zone)
         continue;
       if (!m)
@@ -804,6 +837,8 @@
     }
   if (!more)
     g_clear_pointer (&c->list_after, g_free);
+  if (listed && !more)
+    drop_unlisted (c, now);
   c->next_list = hzb_time_plus (now, more ? 0.3 : MAX (4, c->settings->list_lag_s));
 }
 
@@ -940,6 +975,8 @@
   if (!hzb_time_before (now, c->next_list) && !c->listing)
     {
       c->listing = TRUE;
+      if (!c->list_after)
+        c->list_began = now;
       c->next_list = hzb_time_plus (now, 10);
       hzb_cloud_list (c->cloud, c->list_after, on_listed, held_new (c, NULL));
     }
@@ -1153,6 +1190,7 @@
   c->fleet = hzb_fleet_new (c->jobs, c->machines, settings);
   c->api = hzb_api_new (c);
   c->display = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  c->listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   c->gone = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   c->forget_keys = g_ptr_array_new_with_free_func (g_free);
   c->peers = g_array_new (FALSE, TRUE, sizeof (HzbPeerView));
@@ -1180,6 +1218,7 @@
   hzb_store_free (c->store);
   g_hash_table_unref (c->display);
   g_hash_table_unref (c->gone);
+  g_hash_table_unref (c->listed);
   g_ptr_array_unref (c->forget_keys);
   g_array_unref (c->peers);
   g_free (c->load_after);
--- a/src/controller.h
+++ b/src/controller.h
@@ -73,7 +73,9 @@
   guint renting, returning;
   guint64 rent_number;
   char *list_after;
-  GHashTable *gone; /* names given back: lists lag */
+  GHashTable *gone;   /* names given back: lists lag */
+  GHashTable *listed; /* names in the pages read so far */
+  struct timespec list_began;
   GPtrArray *forget_keys; /* records of machines that are gone */
   struct timespec hold_since, next_list, next_types, next_plan, next_peers, next_return, next_flush, next_dispatch, next_summary;
 } HzbController;
--- a/src/machines.c
+++ b/src/machines.c
@@ -154,13 +154,14 @@
 }
 
 cJSON *
-hzb_machine_pack (const HzbMachine *m)
+hzb_machine_pack (const HzbMachine *m, struct timespec wall)
 {
   cJSON *value = cJSON_CreateObject ();
   cJSON_AddStringToObject (value, "addr", m->addr ? m->addr : "");
   cJSON_AddStringToObject (value, "type", m->type_name);
   cJSON_AddStringToObject (value, "zone", m->zone);
   cJSON_AddBoolToObject (value, "spot", m->spot);
+  cJSON_AddNumberToObject (value, "at", (double) wall.tv_sec);
   return value;
 }
 
--- a/src/machines.h
+++ b/src/machines.h
@@ -29,7 +29,8 @@
   gboolean spot;
   HzbMachineState state; /* changed by hzb_machine_set_state() only */
   guint64 session, seq;
-  struct timespec rented, since, answered, heard, idle_since, notice_at;
+  struct timespec rented; /* or, of a machine found in the records, first known */
+  struct timespec since, answered, heard, idle_since, notice_at;
   gboolean confirmed; /* a report sent under our token has come */
   gboolean recorded, recording;
   gboolean wanted_back;
@@ -68,7 +69,7 @@
 gboolean hzb_machine_set_state (HzbMachines *machines, HzbMachine *machine, HzbMachineState to, const char *why);
 const char *hzb_machine_state_name (HzbMachineState state);
 const char *hzb_machine_name (const HzbMachine *machine);
-cJSON *hzb_machine_pack (const HzbMachine *machine);
+cJSON *hzb_machine_pack (const HzbMachine *machine, struct timespec wall);
 
 /* Kept by hzb_task_set_state(). */
 void hzb_machine_list (HzbMachine *machine, HzbTask *task);
