--- a/src/controller.c
+++ b/src/controller.c
@@ -866,6 +866,27 @@
     }
 }
 
+/* A gang that has lost a task starts anew once all its tasks are gone: those that wait for the others are told
+ * so, those that run notice it themselves. When one is done, all are, even one whose machine is lost. */
+static void
+tend_gang (HzbController *c, HzbJob *job)
+{
+  gboolean over = job->finished + job->done > 0;
+
+  if (!job->pending || job->pending == job->n_tasks)
+    return;
+  for (guint k = 0; k < job->n_tasks; k++)
+    {
+      HzbTask *task = &job->tasks[k];
+      if (over && task->state == HZB_TASK_PENDING && !job->placed)
+        hzb_task_set_state (c->jobs, task, HZB_TASK_FINISHED, NULL);
+      else if (task->state == HZB_TASK_BOOKED)
+        hzb_task_set_state (c->jobs, task, HZB_TASK_PENDING, NULL);
+      else if (!over && (task->state == HZB_TASK_FETCHING || task->state == HZB_TASK_WAITING))
+        task->stopping = TRUE;
+    }
+}
+
 static void
 tend_jobs (HzbController *c, struct timespec now)
 {
@@ -874,6 +895,8 @@
       HzbJob *job = c->jobs->active->pdata[i];
       if (job->state == HZB_JOB_ACCEPTED)
         {
+          if (job->spec->gang)
+            tend_gang (c, job);
           if (job->finished + job->done == job->n_tasks)
             hzb_controller_end_job (c, job);
           continue;
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -21,7 +21,8 @@
 /* Work that the same machines may do. Its unit is the CPU, or the GPU where it uses any. */
 typedef struct
 {
-  const HzbSpec *spec; /* one of its jobs: types, zone and kind are the same for all */
+  const HzbSpec *spec; /* one of its jobs: what holds it, zone and kind are the same for all */
+  const char *zone;    /* the only one; NULL: any */
   char *name;
   gboolean gpus;
   GArray *parts; /* Part */
@@ -108,6 +109,37 @@
   return g_string_free (names, FALSE);
 }
 
+/* All tasks of the job go to one zone: the one that has most machines for it, or else the first that could. */
+static const char *
+zone_for (HzbFleet *f, const HzbSpec *spec)
+{
+  const char *best = NULL;
+  double most = -1;
+
+  if (spec->zone || !spec->same_zone)
+    return spec->zone;
+  for (guint t = 0; f->machines->types && t < f->machines->types->len; t++)
+    {
+      const HzbMachineType *type = f->machines->types->pdata[t];
+      for (guint z = 0; hzb_type_holds (type, spec) && type->zones[z]; z++)
+        {
+          double cpus = 0;
+          for (guint k = 0; k < f->machines->all->len; k++)
+            {
+              const HzbMachine *m = f->machines->all->pdata[k];
+              if (m->type && !m->wanted_back && g_str_equal (m->zone, type->zones[z]) && hzb_type_holds (m->type, spec))
+                cpus += m->type->cpus;
+            }
+          if (cpus > most)
+            {
+              most = cpus;
+              best = type->zones[z];
+            }
+        }
+    }
+  return best;
+}
+
 static GPtrArray *
 needs (HzbFleet *f, struct timespec now)
 {
@@ -128,6 +160,7 @@
       Need *need = NULL;
       Part part;
       double tasks, at_once, unit;
+      const char *zone;
       if (job->state != HZB_JOB_ACCEPTED || (hzb_time_before (now, job->not_before) && !job->placed))
         continue;
       tasks = job->pending + job->listed + job->unknown + job->placed;
@@ -142,7 +175,8 @@
       gpus_left[job->team] -= at_once * spec->gpus;
       /* By what holds a task, not by what it names: a large task is not served by small machines. */
       types = types_holding (f, spec);
-      name = g_strdup_printf ("%s%s%s%s%s", types, spec->zone ? "@" : "", spec->zone ? spec->zone : "",
+      zone = zone_for (f, spec);
+      name = g_strdup_printf ("%s%s%s%s%s", types, zone ? "@" : "", zone ? zone : "",
                               spec->spot ? "" : "!ordinary", spec->gpus > 0 ? "!gpus" : "");
       for (guint k = 0; k < all->len && !need; k++)
         if (g_str_equal (((Need *) all->pdata[k])->name, name))
@@ -151,6 +185,7 @@
         {
           need = g_new0 (Need, 1);
           need->spec = spec;
+          need->zone = zone;
           need->name = g_steal_pointer (&name);
           need->gpus = spec->gpus > 0;
           need->parts = g_array_new (FALSE, FALSE, sizeof (Part));
@@ -199,9 +234,9 @@
 }
 
 static gboolean
-kind_fits (const HzbMachineType *type, const char *zone, gboolean spot, const HzbSpec *spec)
+kind_fits (const HzbMachineType *type, const char *zone, gboolean spot, const Need *need)
 {
-  return hzb_type_holds (type, spec) && (spec->spot || !spot) && (!spec->zone || g_str_equal (spec->zone, zone));
+  return hzb_type_holds (type, need->spec) && (need->spec->spot || !spot) && (!need->zone || g_str_equal (need->zone, zone));
 }
 
 static double
@@ -227,7 +262,7 @@
       const HzbMachineType *type = f->machines->types->pdata[t];
       for (guint z = 0; type->zones[z]; z++)
         for (gint spot = 0; spot < 2; spot++)
-          if (kind_fits (type, type->zones[z], spot, need->spec))
+          if (kind_fits (type, type->zones[z], spot, need))
             {
               double price = unit_price (type, spot, need);
               least = MIN (least, boot ? with_boot (type, price) : price);
@@ -244,7 +279,7 @@
   for (guint k = 0; k < f->machines->all->len; k++)
     {
       const HzbMachine *m = f->machines->all->pdata[k];
-      if (!m->type || m->wanted_back || m->spare || !kind_fits (m->type, m->zone, m->spot, need->spec))
+      if (!m->type || m->wanted_back || m->spare || !kind_fits (m->type, m->zone, m->spot, need))
         continue;
       if (m->state == HZB_MACHINE_ACTIVE || m->state == HZB_MACHINE_UNHEARD
           || (m->state == HZB_MACHINE_BOOTING && hzb_time_between (m->rented, now) < MAX (30, 2.5 * m->type->boot_s)))
@@ -269,7 +304,7 @@
       for (guint k = 0; k < out->len; k++)
         {
           const HzbRental *r = &g_array_index (out, HzbRental, k);
-          if (kind_fits (r->type, r->zone, r->spot, need->spec))
+          if (kind_fits (r->type, r->zone, r->spot, need))
             have += r->count * useful_units (r->type, need);
         }
       /* Spare machines that are still here come back before anything is rented. */
@@ -277,7 +312,7 @@
         {
           HzbMachine *m = f->machines->all->pdata[k];
           if (m->spare && !m->wanted_back && m->state == HZB_MACHINE_ACTIVE && m->type
-              && kind_fits (m->type, m->zone, m->spot, need->spec)
+              && kind_fits (m->type, m->zone, m->spot, need)
               && have + 1e-6 < wanted (need, unit_price (m->type, m->spot, need) / cheapest (f, need, FALSE)))
             {
               m->spare = FALSE;
@@ -301,7 +336,7 @@
                     g_autofree char *name = offer_name (type, type->zones[z], spot);
                     const Refusal *refusal = g_hash_table_lookup (f->refused, name);
                     double cost = with_boot (type, unit_price (type, spot, need));
-                    if (!kind_fits (type, type->zones[z], spot, need->spec) || !isfinite (cost)
+                    if (!kind_fits (type, type->zones[z], spot, need) || !isfinite (cost)
                         || g_hash_table_contains (tried, name) || (refusal && hzb_time_before (now, refusal->until)))
                       continue;
                     if (cost < least)
@@ -380,7 +415,7 @@
         {
           const Need *need = all->pdata[i];
           double want;
-          if (!kind_fits (m->type, m->zone, m->spot, need->spec))
+          if (!kind_fits (m->type, m->zone, m->spot, need))
             continue;
           /* More than the present need if there usually is more: jobs come in lumps. */
           want = wanted (need, unit_price (m->type, m->spot, need) / least[i]) * MAX (1, f->usual / MAX (total, 1));
@@ -396,7 +431,7 @@
       g_debug ("machine %s is spare", m->name);
       m->spare = TRUE;
       for (guint i = 0; i < all->len; i++)
-        if (kind_fits (m->type, m->zone, m->spot, ((Need *) all->pdata[i])->spec))
+        if (kind_fits (m->type, m->zone, m->spot, all->pdata[i]))
           have[i] -= useful_units (m->type, all->pdata[i]);
     }
 }
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -177,8 +177,16 @@
       HzbTask *task = m->tasks->pdata[i];
       const HzbSpec *spec = task->job->spec;
       double left = hzb_job_mean_s (task->job) - hzb_time_between (task->since, now);
-      if (task->stopping || task->state != HZB_TASK_RUNNING || spec->gang)
+      if (task->stopping || task->state != HZB_TASK_RUNNING)
         continue;
+      if (spec->gang)
+        {
+          /* An orderly stop: every task is told with the answer to its machine's next report. */
+          for (guint k = 0; spec->checkpoint_s > 0 && left > notice_s && k < task->job->n_tasks; k++)
+            if (hzb_task_on_machine (&task->job->tasks[k]))
+              task->job->tasks[k].stopping = TRUE;
+          continue;
+        }
       /* What should end by itself before then runs on; a task without checkpoints has nothing to save. */
       if (spec->checkpoint_s > 0 && left > notice_s - spec->save_s - 1)
         {
--- a/src/http.c
+++ b/src/http.c
@@ -80,13 +80,30 @@
 
 /* ---- server ---- */
 
+/* What a connection is at: libsoup tells when it begins to wait for a request, and sets no limit to it. */
+typedef struct
+{
+  GSocket *socket;
+  guint rounds;   /* sweeps it has been waiting for */
+  gboolean begun; /* the headers have come */
+} Waiting;
+
 struct _HzbHttpServer
 {
   SoupServer *soup;
   HzbHandler handler;
   gpointer user;
+  GHashTable *waiting; /* SoupMessage -> Waiting, requests that have not come in whole */
+  guint sweeper, crowd; /* crowd: as many open connections are a lot */
 };
 
+/* Seconds between sweeps, and sweeps that a request has to come in whole, that an idle connection is kept, and
+ * that it is kept when many are open. */
+#define SWEEP_S 3
+#define REQUEST_ROUNDS 5
+#define IDLE_ROUNDS 30
+#define IDLE_CROWDED_ROUNDS 4
+
 void
 hzb_exchange_reply (HzbExchange *exchange, guint status, char *body, guint retry_after_s)
 {
@@ -120,6 +137,47 @@
   g_object_unref (message);
 }
 
+static void
+waiting_free (gpointer data)
+{
+  g_object_unref (((Waiting *) data)->socket);
+  g_free (data);
+}
+
+static void
+on_started (SoupServer *soup, SoupMessage *message, SoupClientContext *client, gpointer user)
+{
+  HzbHttpServer *server = user;
+  Waiting *waiting = g_new0 (Waiting, 1);
+  waiting->socket = g_object_ref (soup_client_context_get_gsocket (client));
+  g_hash_table_replace (server->waiting, message, waiting);
+}
+
+static void
+on_over (SoupServer *soup, SoupMessage *message, SoupClientContext *client, gpointer user)
+{
+  g_hash_table_remove (((HzbHttpServer *) user)->waiting, message);
+}
+
+/* Guards against requests that are sent by half and connections that nobody uses: each holds a socket. */
+static gboolean
+sweep (gpointer user)
+{
+  HzbHttpServer *server = user;
+  GHashTableIter iter;
+  gpointer value;
+  gboolean crowded = g_hash_table_size (server->waiting) > server->crowd;
+
+  g_hash_table_iter_init (&iter, server->waiting);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Waiting *waiting = value;
+      if (++waiting->rounds > (waiting->begun ? REQUEST_ROUNDS : crowded ? IDLE_CROWDED_ROUNDS : IDLE_ROUNDS))
+        g_socket_shutdown (waiting->socket, TRUE, TRUE, NULL); /* libsoup then ends it */
+    }
+  return G_SOURCE_CONTINUE;
+}
+
 static void
 on_request (SoupServer *soup, SoupMessage *message, const char *path, GHashTable *query, SoupClientContext *client,
             gpointer user)
@@ -129,6 +187,7 @@
   g_autoptr (SoupBuffer) body = soup_message_body_flatten (message->request_body);
   gboolean answered = FALSE;
 
+  g_hash_table_remove (server->waiting, message);
   exchange->method = g_strdup (message->method);
   exchange->path = g_strdup (path);
   exchange->body = g_strndup (body->data, body->length);
@@ -159,13 +218,21 @@
 on_headers (SoupServer *soup, SoupMessage *message, const char *path, GHashTable *query, SoupClientContext *client,
             gpointer user)
 {
+  HzbHttpServer *server = user;
+  Waiting *waiting = g_hash_table_lookup (server->waiting, message);
+
+  if (waiting)
+    {
+      waiting->begun = TRUE;
+      waiting->rounds = 0;
+    }
   if (soup_message_headers_get_encoding (message->request_headers) == SOUP_ENCODING_CONTENT_LENGTH
       && soup_message_headers_get_content_length (message->request_headers) > HZB_MAX_BODY)
     refuse_size (message);
 }
 
 HzbHttpServer *
-hzb_http_server_new (const char *addr, HzbHandler handler, gpointer user, GError **error)
+hzb_http_server_new (const char *addr, guint sockets, HzbHandler handler, gpointer user, GError **error)
 {
   HzbHttpServer *server = g_new0 (HzbHttpServer, 1);
   g_autofree char *host = NULL;
@@ -177,6 +244,12 @@
   server->handler = handler;
   server->user = user;
   server->soup = soup_server_new (SOUP_SERVER_SERVER_HEADER, "hazelbank", NULL);
+  server->waiting = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, waiting_free);
+  server->crowd = sockets / 2;
+  server->sweeper = g_timeout_add_seconds (SWEEP_S, sweep, server);
+  g_signal_connect (server->soup, "request-started", G_CALLBACK (on_started), server);
+  g_signal_connect (server->soup, "request-finished", G_CALLBACK (on_over), server);
+  g_signal_connect (server->soup, "request-aborted", G_CALLBACK (on_over), server);
   soup_server_add_early_handler (server->soup, NULL, on_headers, server, NULL);
   soup_server_add_handler (server->soup, NULL, on_request, server, NULL);
   if (!soup_server_listen (server->soup, address, 0, error))
@@ -190,6 +263,8 @@
 void
 hzb_http_server_free (HzbHttpServer *server)
 {
+  g_source_remove (server->sweeper);
   g_object_unref (server->soup);
+  g_hash_table_unref (server->waiting);
   g_free (server);
 }
--- a/src/http.h
+++ b/src/http.h
@@ -38,5 +38,5 @@
 typedef void (*HzbHandler) (HzbExchange *exchange, gpointer user);
 
 typedef struct _HzbHttpServer HzbHttpServer;
-HzbHttpServer *hzb_http_server_new (const char *addr, HzbHandler handler, gpointer user, GError **error);
+HzbHttpServer *hzb_http_server_new (const char *addr, guint sockets, HzbHandler handler, gpointer user, GError **error);
 void hzb_http_server_free (HzbHttpServer *server);
--- a/src/main.c
+++ b/src/main.c
@@ -89,8 +89,8 @@
     }
   clock = hzb_clock_new ();
   controller = hzb_controller_new (settings, clock, hzb_http_client_new (), g_random_int ());
-  if (!hzb_http_server_new (settings->api_addr, hzb_controller_request, controller, &error)
-      || !hzb_http_server_new (settings->peer_addr, hzb_controller_peer_request, controller, &error))
+  if (!hzb_http_server_new (settings->api_addr, settings->sockets, hzb_controller_request, controller, &error)
+      || !hzb_http_server_new (settings->peer_addr, settings->sockets, hzb_controller_peer_request, controller, &error))
     {
       g_printerr ("hazelbank: can't listen: %s\n", error->message);
       return 1;
--- a/tests/test-world.c
+++ b/tests/test-world.c
@@ -268,6 +268,190 @@
   world_free (w);
 }
 
+static WorldMachine *
+machine_with_tasks (World *w)
+{
+  for (guint i = 0; i < w->machines->len; i++)
+    if (((WorldMachine *) w->machines->pdata[i])->tasks->len)
+      return w->machines->pdata[i];
+  return NULL;
+}
+
+static void
+keep_status (HzbExchange *exchange, guint status, const char *body, guint retry)
+{
+  guint *out = exchange->impl;
+  *out = status;
+}
+
+static guint
+report_again (World *w, WorldMachine *m, guint64 session, guint64 seq, const char *pieces)
+{
+  HzbExchange *exchange = g_new0 (HzbExchange, 1);
+  guint status = 0;
+  exchange->method = g_strdup ("POST");
+  exchange->path = g_strdup ("/hello");
+  exchange->body = g_strdup_printf ("{\"host\":\"%s\",\"addr\":\"10.1.0.1:1\",\"flavor\":\"%s\",\"yard\":\"%s\","
+                                    "\"loaners\":false,\"tenure\":%u,\"tick\":%u,\"baton\":%u,\"pieces\":[%s]}",
+                                    m->name, m->type, m->zone, (guint) session, (guint) seq, (guint) m->token, pieces);
+  exchange->length = strlen (exchange->body);
+  exchange->reply = keep_status;
+  exchange->impl = &status;
+  hzb_controller_request (exchange, w->nodes[world_leader (w)].c);
+  return status;
+}
+
+/* A report that comes late, or again, says nothing new: its empty list does not free tasks that run. */
+static void
+test_late_report (void)
+{
+  World *w = world_new (11);
+  WorldMachine *m;
+  guint started;
+  world_add_job (w, 1, "red", 6, 2, 60);
+  world_run (w, 25);
+  m = machine_with_tasks (w);
+  g_assert_nonnull (m);
+  started = w->started;
+  g_assert_cmpuint (report_again (w, m, m->session, 1, ""), ==, 503);
+  g_assert_cmpuint (report_again (w, m, m->session, m->seq, ""), ==, 503);
+  world_run (w, 32);
+  g_assert_cmpuint (w->started, ==, started);
+  world_run (w, 200);
+  expect_all_over (w, "late report", 11);
+  world_free (w);
+}
+
+/* A worker that has seen a newer token: whoever answers it with less has been replaced, and gives way. */
+static void
+test_newer_token (void)
+{
+  World *w = world_new (12);
+  WorldMachine *m;
+  HzbController *c;
+  world_add_job (w, 1, "red", 2, 2, 30);
+  world_run (w, 20);
+  m = machine_with_tasks (w);
+  c = w->nodes[world_leader (w)].c;
+  m->token += 7;
+  g_assert_cmpuint (report_again (w, m, m->session, m->seq + 1, ""), ==, 503);
+  g_assert_false (hzb_election_leading (c->election));
+  m->token -= 7;
+  world_run (w, 120);
+  expect_all_over (w, "newer token", 12);
+  world_free (w);
+}
+
+/* A cancellation while starts are on their way: told only once durable, and soon nothing of the job is left. */
+static void
+test_cancel_in_flight (void)
+{
+  World *w = world_new (13);
+  WorldJob *job = world_add_job (w, 1, "red", 12, 2, 100);
+  job->wants_cancel = TRUE;
+  w->late = 0.1;
+  w->lose = 0.1;
+  world_run (w, 60);
+  w->late = w->lose = 0;
+  world_run (w, 90);
+  g_assert_true (job->told_cancelled);
+  g_assert_null (machine_with_tasks (w));
+  expect_no_fault (w, "cancel in flight", 13);
+  world_free (w);
+}
+
+/* While the state service is away a finished job is not called done, and its results are kept by the workers. */
+static void
+test_done_is_durable_first (void)
+{
+  World *w = world_new (14);
+  WorldJob *job = world_add_job (w, 1, "red", 4, 2, 15);
+  WorldMachine *m;
+  guint ended = 0;
+  world_run (w, 15);
+  g_assert_nonnull (machine_with_tasks (w));
+  w->outage = TRUE;
+  world_run (w, 45);
+  g_assert_false (job->told_done);
+  for (guint i = 0; i < w->machines->len; i++)
+    {
+      m = w->machines->pdata[i];
+      for (guint k = 0; k < m->tasks->len; k++)
+        ended += g_str_equal (((WorldTask *) m->tasks->pdata[k])->why, "done");
+    }
+  g_assert_cmpuint (ended, ==, 4);
+  w->outage = FALSE;
+  world_run (w, 60);
+  g_assert_true (job->told_done);
+  expect_all_over (w, "durable first", 14);
+  world_free (w);
+}
+
+static void
+ignore_result (HzbStoreResult result, const char *body, gpointer user)
+{
+}
+
+/* A flush that comes late, after a newer one of the same term, is refused and takes nothing back. */
+static void
+test_late_flush (void)
+{
+  World *w = world_new (15);
+  HzbController *c;
+  HzbStore *store;
+  cJSON *txn;
+  guint64 version;
+  gpointer before;
+  world_add_job (w, 1, "red", 20, 2, 20);
+  world_run (w, 15);
+  c = w->nodes[world_leader (w)].c;
+  store = c->store;
+  version = c->flush_version;
+  world_run (w, 40);
+  g_assert_cmpuint (c->flush_version, >, version);
+  before = g_hash_table_lookup (w->kv, "hzb/x/progress/main/run-100000/0");
+  txn = hzb_wire_txn ();
+  hzb_election_guard (c->election, txn);
+  hzb_wire_txn_if (txn, HZB_KEY_FLUSH, version);
+  hzb_wire_txn_put (txn, "hzb/x/progress/main/run-100000/0", cJSON_CreateObject (), 0);
+  hzb_store_txn (store, HZB_STORE_RECORD, txn, ignore_result, NULL);
+  world_run (w, 41);
+  g_assert_true (before == NULL || strstr (*(char **) g_hash_table_lookup (w->kv, "hzb/x/progress/main/run-100000/0"), "released"));
+  world_run (w, 150);
+  expect_all_over (w, "late flush", 15);
+  world_free (w);
+}
+
+/* A rental carried out late, or by nobody known, is used or goes back. */
+static void
+test_surprise_machine (void)
+{
+  World *w = world_new (16);
+  WorldMachine *idle = world_add_machine (w, "small", "za", FALSE, 1);
+  world_run (w, 150);
+  g_assert_true (idle->gone);
+  expect_no_fault (w, "surprise", 16);
+  world_free (w);
+}
+
+static void
+test_gang_loses_machine (void)
+{
+  World *w = world_new (17);
+  WorldJob *job = world_add_job (w, 1, "red", 6, 2, 30);
+  WorldMachine *m;
+  job->gang = TRUE;
+  world_run (w, 25);
+  m = machine_with_tasks (w);
+  g_assert_nonnull (m);
+  m->gone = TRUE; /* taken with no notice */
+  m->gone_at = w->now;
+  g_ptr_array_set_size (m->tasks, 0);
+  world_run (w, 260);
+  expect_all_over (w, "gang", 17);
+  world_free (w);
+}
+
 /* The checks themselves: each can fail. */
 static void
 test_checks_can_fail (void)
@@ -310,5 +494,12 @@
   g_test_add_func ("/world/quick-restart", test_quick_restart);
   g_test_add_func ("/world/outage-keeps-tasks", test_outage_keeps_tasks);
   g_test_add_func ("/world/bad-job", test_bad_job);
+  g_test_add_func ("/world/late-report", test_late_report);
+  g_test_add_func ("/world/newer-token", test_newer_token);
+  g_test_add_func ("/world/cancel-in-flight", test_cancel_in_flight);
+  g_test_add_func ("/world/done-is-durable-first", test_done_is_durable_first);
+  g_test_add_func ("/world/late-flush", test_late_flush);
+  g_test_add_func ("/world/surprise-machine", test_surprise_machine);
+  g_test_add_func ("/world/gang-loses-machine", test_gang_loses_machine);
   return g_test_run ();
 }
--- a/tests/world.c
+++ b/tests/world.c
@@ -930,9 +930,30 @@
     {
       WorldTask *task = m->tasks->pdata[i];
       WorldJob *job = find_job (w, task->uid);
+      if (job->gang && task->state >= 1 && task->state <= 2)
+        {
+          guint here = 0;
+          for (guint a = 0; a < w->machines->len; a++)
+            {
+              const WorldMachine *other = w->machines->pdata[a];
+              for (guint k = 0; k < other->tasks->len && !other->gone; k++)
+                {
+                  const WorldTask *mate = other->tasks->pdata[k];
+                  here += g_str_equal (mate->uid, task->uid) && mate->attempt == task->attempt
+                          && ((mate->state >= 1 && mate->state <= 2) || (mate->state == 4 && g_str_equal (mate->why, "done")));
+                }
+            }
+          if (task->state == 1 && here == job->n)
+            {
+              task->state = 2;
+              task->end_at = w->now + job->run_s;
+            }
+          else if (task->state == 2 && here < job->n)
+            end_task (task, "mates_gone");
+        }
       if (task->state == 0 && w->now >= task->ready_at)
         {
-          task->state = 2;
+          task->state = job->gang ? 1 : 2;
           if (m->sick || job->bad)
             end_task (task, "error");
         }
