--- a/src/controller.c
+++ b/src/controller.c
@@ -1016,7 +1016,8 @@
 
   cJSON_AddStringToObject (root, "node", c->settings->node);
   cJSON_AddBoolToObject (root, "leads", hzb_election_leading (c->election));
-  hzb_json_add_u64 (root, "term", hzb_election_leader_term (c->election));
+  /* Also what others told: a holder may reach only nodes that the state service does not reach either. */
+  hzb_json_add_u64 (root, "term", MAX (hzb_election_leader_term (c->election), c->heard_term));
   cJSON_AddNumberToObject (root, "storeSilenceS", MIN (silence, 1e6));
   if (c->hold >= HZB_HOLD_RECOVERING)
     {
@@ -1051,6 +1052,7 @@
                                  GSIZE_TO_POINTER (((gsize) done->valueint << 24) | (gsize) running->valueint));
         }
     }
+  c->heard_term = MAX (c->heard_term, view->term);
   /* A holder that the state service does not reach learns here that it has been replaced. */
   if (view->term > hzb_election_term (c->election))
     hzb_election_step_down (c->election, "a peer knows a newer term");
--- a/src/controller.h
+++ b/src/controller.h
@@ -56,6 +56,7 @@
   HzbBlock *block;
   HzbApi *api;
   GArray *peers; /* HzbPeerView */
+  guint64 heard_term; /* the highest that a peer knew of */
   GHashTable *display; /* uid -> (done, running), by the holder's last word */
 
   HzbMirrorState mirror;
