--- a/src/api.c
+++ b/src/api.c
@@ -105,14 +105,14 @@
 static void
 reply_status (HzbApi *api, HzbExchange *exchange, const HzbJob *job, guint status, gboolean counts)
 {
-  guint done = job->done + job->finished, running = job->running;
+  guint done = job->done + job->finished, running = job->running + job->lent_running;
   const char *text = hzb_job_status (job);
 
   if (job->state == HZB_JOB_DONE)
     done = job->n_tasks;
   if (job->state != HZB_JOB_ACCEPTED)
     running = 0;
-  else if (!job->tasks)
+  else if (!job->tasks || api->c->jobs->lessee)
     {
       /* Only for display: what the holder last told its peers. */
       guint64 seen = GPOINTER_TO_SIZE (g_hash_table_lookup (api->c->display, job->uid));
--- a/src/block.c
+++ b/src/block.c
@@ -3,10 +3,10 @@
 #define ROUNDING 1e-6
 
 HzbBlock *
-hzb_block_new (const HzbSettings *settings, guint64 term)
+hzb_block_new (const HzbSettings *settings, guint64 token)
 {
   HzbBlock *block = g_new0 (HzbBlock, 1);
-  block->term = term;
+  block->token = token;
   block->n_teams = settings->teams->len;
   block->cpus = g_new0 (double, block->n_teams);
   block->gpus = g_new0 (double, block->n_teams);
@@ -21,6 +21,15 @@
   return block;
 }
 
+HzbBlock *
+hzb_block_new_leased (const HzbSettings *settings, guint64 token)
+{
+  HzbBlock *block = hzb_block_new (settings, token);
+  for (guint i = 0; i < block->n_teams; i++)
+    block->cpus_allowed[i] = block->gpus_allowed[i] = 1e12;
+  return block;
+}
+
 void
 hzb_block_free (HzbBlock *block)
 {
--- a/src/block.h
+++ b/src/block.h
@@ -5,13 +5,29 @@
 
 typedef struct
 {
-  guint64 term;
+  guint64 token; /* the term that is sent with each start; see hzb_token() */
   guint n_teams;
   double *cpus, *gpus;                 /* in use, or possibly in use */
   double *cpus_allowed, *gpus_allowed; /* over all blocks they sum to at most the team's limit */
 } HzbBlock;
 
-HzbBlock *hzb_block_new (const HzbSettings *settings, guint64 term);
+/* Terms of blocks: the leader's term, and within it a number that is never used twice. A later leader's exceed
+ * all of an earlier one's, and a block that passes on gets a higher one. */
+static inline guint64
+hzb_token (guint64 leader_term, guint number)
+{
+  return leader_term << 20 | number;
+}
+
+static inline guint64
+hzb_token_leader (guint64 token)
+{
+  return token >> 20;
+}
+
+HzbBlock *hzb_block_new (const HzbSettings *settings, guint64 token);
+/* A lessee's block: what its teams may use is what was granted, and is counted by the leader. */
+HzbBlock *hzb_block_new_leased (const HzbSettings *settings, guint64 token);
 void hzb_block_free (HzbBlock *block);
 gboolean hzb_block_fits (const HzbBlock *block, int team, double cpus, double gpus);
 void hzb_block_hold (HzbBlock *block, int team, double cpus, double gpus);
--- a/src/controller.c
+++ b/src/controller.c
@@ -181,9 +181,10 @@
 static void
 set_hold (HzbController *c, HzbHoldState to, const char *why)
 {
-  static const char *const names[] = { "none", "loading", "recovering", "full" };
+  static const char *const names[] = { "none", "leased", "loading", "recovering", "full" };
   static const guint legal[] = {
-    [HZB_HOLD_NONE] = 1 << HZB_HOLD_LOADING,
+    [HZB_HOLD_NONE] = 1 << HZB_HOLD_LOADING | 1 << HZB_HOLD_LEASED,
+    [HZB_HOLD_LEASED] = 1 << HZB_HOLD_NONE,
     [HZB_HOLD_LOADING] = 1 << HZB_HOLD_NONE | 1 << HZB_HOLD_RECOVERING,
     [HZB_HOLD_RECOVERING] = 1 << HZB_HOLD_NONE | 1 << HZB_HOLD_FULL,
     [HZB_HOLD_FULL] = 1 << HZB_HOLD_NONE,
@@ -292,7 +293,8 @@
 begin_hold (HzbController *c)
 {
   c->hold_epoch++;
-  c->block = hzb_block_new (c->settings, hzb_election_term (c->election));
+  c->block = hzb_block_new (c->settings, hzb_token (hzb_election_term (c->election), 0));
+  hzb_leases_reset (c->leases);
   c->flush_version = c->flush_number = 0;
   c->flushing = c->flush_unknown = FALSE;
   c->rent_number = 0;
@@ -318,6 +320,32 @@
   g_clear_pointer (&c->block, hzb_block_free);
 }
 
+void
+hzb_controller_begin_leased (HzbController *c, guint64 token)
+{
+  c->hold_epoch++;
+  c->block = hzb_block_new_leased (c->settings, token);
+  c->jobs->lessee = TRUE;
+  c->hold_since = hzb_clock_now (c->clock);
+  hzb_machines_clear (c->machines);
+  hzb_leases_clear_own (c->leases);
+  hzb_jobs_hold (c->jobs, c->block);
+  set_hold (c, HZB_HOLD_LEASED, "the leader leased us a block");
+}
+
+void
+hzb_controller_end_leased (HzbController *c, const char *why)
+{
+  if (c->hold != HZB_HOLD_LEASED)
+    return;
+  c->hold_epoch++;
+  set_hold (c, HZB_HOLD_NONE, why);
+  hzb_jobs_let_go (c->jobs);
+  hzb_machines_clear (c->machines);
+  hzb_leases_clear_own (c->leases);
+  g_clear_pointer (&c->block, hzb_block_free);
+}
+
 /* ---- writing progress and machines ---- */
 
 typedef struct
@@ -367,7 +395,10 @@
         {
           HzbTask *task = &job->tasks[g_array_index (fj->finished, guint, k)];
           if (task->state == HZB_TASK_FINISHED)
-            hzb_task_set_state (c->jobs, task, HZB_TASK_DONE, NULL);
+            {
+              hzb_task_set_state (c->jobs, task, HZB_TASK_DONE, NULL);
+              hzb_leases_durable (c->leases, task);
+            }
         }
     }
   for (guint i = 0; i < flush->machines->len; i++)
@@ -693,7 +724,7 @@
       call->held.c = c;
       call->held.epoch = c->hold_epoch;
       /* Terms are never used twice, so neither is a name. */
-      call->request = g_strdup_printf ("r-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, c->block->term, ++c->rent_number);
+      call->request = g_strdup_printf ("r-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, hzb_election_term (c->election), ++c->rent_number);
       call->type = g_strdup (rental->type->name);
       call->zone = g_strdup (rental->zone);
       call->spot = rental->spot;
@@ -748,7 +779,9 @@
     {
       HzbMachine *m = c->machines->all->pdata[i];
       double in_state = hzb_time_between (m->since, now);
-      if (m->state == HZB_MACHINE_UNHEARD && hzb_time_between (c->hold_since, now) > c->settings->lease_s + 2)
+      if (m->state == HZB_MACHINE_LENT)
+        continue; /* its lessee is asked for it */
+      if (m->state == HZB_MACHINE_UNHEARD && in_state > c->settings->lease_s + 2)
         m->wanted_back = TRUE; /* silence proves nothing: only the cloud can say that it is gone */
       if (m->state == HZB_MACHINE_SILENT && in_state > FORGET_SILENT_S)
         m->wanted_back = TRUE;
@@ -789,7 +822,7 @@
   for (guint i = c->machines->all->len; i-- > 0;)
     {
       HzbMachine *m = c->machines->all->pdata[i];
-      if (g_hash_table_contains (c->listed, m->name) || m->state == HZB_MACHINE_RETURNING
+      if (g_hash_table_contains (c->listed, m->name) || m->state == HZB_MACHINE_RETURNING || m->state == HZB_MACHINE_LENT
           || hzb_time_between (m->rented, c->list_began) < known)
         continue;
       /* One that has just reported is there, whatever the list says. */
@@ -829,7 +862,9 @@
           m = hzb_machines_add (c->machines, l->name, l->addr, l->type, l->zone, l->spot, HZB_MACHINE_BOOTING);
           m->rented = hzb_time_plus (now, -l->age_s);
         }
-      if (l->state == HZB_LISTED_FAILED && m->state != HZB_MACHINE_RETURNING)
+      if (l->state == HZB_LISTED_FAILED && m->state == HZB_MACHINE_LENT)
+        m->wanted_back = TRUE;
+      else if (l->state == HZB_LISTED_FAILED && m->state != HZB_MACHINE_RETURNING)
         {
           m->wanted_back = TRUE;
           hzb_machine_set_state (c->machines, m, HZB_MACHINE_RETURNING, "the cloud calls it failed");
@@ -901,6 +936,7 @@
             hzb_controller_end_job (c, job);
           continue;
         }
+      hzb_leases_cancelled (c->leases, job);
       for (guint k = 0; job->listed && k < job->n_tasks; k++)
         if (job->tasks[k].state == HZB_TASK_LISTED)
           hzb_task_set_state (c->jobs, &job->tasks[k], HZB_TASK_PENDING, NULL);
@@ -966,10 +1002,11 @@
 static void
 hold_tick (HzbController *c, struct timespec now)
 {
-  if (c->hold == HZB_HOLD_RECOVERING && hzb_machines_all_heard (c->machines))
+  if ((c->hold == HZB_HOLD_RECOVERING || hzb_jobs_any_unknown (c->jobs)) && hzb_machines_all_heard (c->machines))
     {
       hzb_jobs_resolve_unknown (c->jobs);
-      set_hold (c, HZB_HOLD_FULL, "every machine has answered or is gone");
+      if (c->hold == HZB_HOLD_RECOVERING)
+        set_hold (c, HZB_HOLD_FULL, "every machine has answered or is gone");
     }
   check_leases (c, now);
   tend_jobs (c, now);
@@ -1025,7 +1062,7 @@
       for (guint i = 0; i < MIN (c->jobs->active->len, 200); i++)
         {
           const HzbJob *job = c->jobs->active->pdata[i];
-          int counts[2] = { (int) (job->done + job->finished), (int) job->running };
+          int counts[2] = { (int) (job->done + job->finished), (int) (job->running + job->lent_running) };
           if (counts[0] || counts[1])
             cJSON_AddItemToObject (list, job->uid, cJSON_CreateIntArray (counts, 2));
         }
@@ -1105,6 +1142,12 @@
   const char *node = hzb_json_text (root, "node");
   cJSON *word = NULL;
 
+  if (g_str_equal (exchange->path, "/peer/v1/block"))
+    {
+      hzb_leases_request (c->leases, exchange, root);
+      cJSON_Delete (root);
+      return;
+    }
   for (guint i = 0; node && i < c->peers->len; i++)
     {
       HzbPeerView *view = &g_array_index (c->peers, HzbPeerView, i);
@@ -1149,14 +1192,22 @@
   mirror_step (c);
   hzb_election_tick (c->election, mirror_is_fresh (c));
   watch_own_standing (c);
+  if (hzb_election_leading (c->election))
+    hzb_controller_end_leased (c, "this node leads now");
   if (hzb_election_leading (c->election) && c->hold != HZB_HOLD_NONE
-      && c->block->term != hzb_election_term (c->election))
+      && hzb_token_leader (c->block->token) != hzb_election_term (c->election))
     end_hold (c); /* elected anew before the loss was seen */
   if (hzb_election_leading (c->election) && c->hold == HZB_HOLD_NONE
       && hzb_election_leader_seen (c->election))
     begin_hold (c);
-  else if (!hzb_election_leading (c->election) && c->hold != HZB_HOLD_NONE)
+  else if (!hzb_election_leading (c->election) && c->hold > HZB_HOLD_LEASED)
     end_hold (c);
+  hzb_leases_tick (c->leases, now);
+  if (c->hold == HZB_HOLD_LEASED && !hzb_time_before (now, c->next_dispatch))
+    {
+      c->next_dispatch = hzb_time_plus (now, 0.2);
+      hzb_dispatch_run (c->dispatch, now);
+    }
   if (c->hold >= HZB_HOLD_RECOVERING)
     hold_tick (c, now);
   if (!c->asking_types && !hzb_time_before (now, c->next_types)
@@ -1214,6 +1265,8 @@
   c->dispatch = hzb_dispatch_new (c->jobs, c->machines, settings, c->rand);
   c->fleet = hzb_fleet_new (c->jobs, c->machines, settings);
   c->api = hzb_api_new (c);
+  c->leases = hzb_leases_new (c);
+  c->incarnation = g_strdup_printf ("%08x%08x", g_rand_int (c->rand), g_rand_int (c->rand));
   c->display = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   c->listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   c->gone = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -1231,6 +1284,8 @@
 hzb_controller_free (HzbController *c)
 {
   hzb_api_free (c->api);
+  hzb_leases_free (c->leases);
+  g_free (c->incarnation);
   hzb_jobs_let_go (c->jobs);
   hzb_machines_clear (c->machines);
   hzb_fleet_free (c->fleet);
--- a/src/controller.h
+++ b/src/controller.h
@@ -23,6 +23,7 @@
 typedef enum
 {
   HZB_HOLD_NONE,
+  HZB_HOLD_LEASED,     /* holds a block that the leader leased to it */
   HZB_HOLD_LOADING,    /* elected, reads progress and machines */
   HZB_HOLD_RECOVERING, /* some machines have not answered under our term */
   HZB_HOLD_FULL
@@ -39,6 +40,7 @@
 } HzbPeerView;
 
 typedef struct _HzbApi HzbApi;
+typedef struct _HzbLeases HzbLeases;
 
 typedef struct
 {
@@ -55,6 +57,8 @@
   HzbFleet *fleet;
   HzbBlock *block;
   HzbApi *api;
+  HzbLeases *leases;
+  char *incarnation;
   GArray *peers; /* HzbPeerView */
   guint64 heard_term; /* the highest that a peer knew of */
   GHashTable *display; /* uid -> (done, running), by the holder's last word */
@@ -94,6 +98,26 @@
 /* gateway.c */
 void hzb_gateway_report (HzbController *c, HzbExchange *exchange);
 
+/* lease.c: blocks leased to other controllers */
+HzbLeases *hzb_leases_new (HzbController *c);
+void hzb_leases_free (HzbLeases *leases);
+void hzb_leases_tick (HzbLeases *leases, struct timespec now);
+void hzb_leases_reset (HzbLeases *leases); /* the leader's part is over, or begins */
+void hzb_leases_request (HzbLeases *leases, HzbExchange *exchange, const cJSON *root);
+/* A machine without tasks has reported for the first time: whom it is lent to, or NULL. */
+const char *hzb_leases_offer (HzbLeases *leases, HzbMachine *machine);
+const char *hzb_leases_lessee (HzbLeases *leases, const HzbMachine *machine);
+guint64 hzb_leases_next_token (HzbLeases *leases);
+void hzb_leases_durable (HzbLeases *leases, HzbTask *task); /* of a task that a lessee has finished */
+void hzb_leases_cancelled (HzbLeases *leases, HzbJob *job);
+/* On a lessee. */
+void hzb_leases_clear_own (HzbLeases *leases);
+gboolean hzb_leases_valid (HzbLeases *leases);
+void hzb_leases_finished (HzbLeases *leases, const HzbTask *task);
+void hzb_leases_give_machine (HzbLeases *leases, HzbMachine *machine, const char *why);
+void hzb_controller_begin_leased (HzbController *c, guint64 token);
+void hzb_controller_end_leased (HzbController *c, const char *why);
+
 /* api.c */
 HzbApi *hzb_api_new (HzbController *c);
 void hzb_api_free (HzbApi *api);
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -510,8 +510,8 @@
 
 /* Guards against a team's limit being filled, as it frees up, by whichever machine reports first: what its
  * more pressing tasks wait for is kept for them. */
-static gboolean
-team_may_use (HzbDispatch *d, const HzbJob *job)
+gboolean
+hzb_dispatch_team_may_use (HzbDispatch *d, const HzbJob *job)
 {
   const double *cpus = d->ahead_cpus + job->team * HZB_N_CLASSES, *gpus = d->ahead_gpus + job->team * HZB_N_CLASSES;
   double kept_cpus = 0, kept_gpus = 0;
@@ -523,10 +523,18 @@
   return hzb_block_fits (d->jobs->block, job->team, job->spec->cpus + kept_cpus, job->spec->gpus + kept_gpus);
 }
 
+void
+hzb_dispatch_started (HzbDispatch *d, const HzbJob *job)
+{
+  guint at = (guint) job->team * HZB_N_CLASSES + job->class;
+  d->ahead_cpus[at] = MAX (0, d->ahead_cpus[at] - job->spec->cpus);
+  d->ahead_gpus[at] = MAX (0, d->ahead_gpus[at] - job->spec->gpus);
+}
+
 static gboolean
 startable (HzbDispatch *d, const HzbTask *task, const HzbMachine *m)
 {
-  return task->job->state == HZB_JOB_ACCEPTED && team_may_use (d, task->job) && zone_allowed (task->job, m);
+  return task->job->state == HZB_JOB_ACCEPTED && hzb_dispatch_team_may_use (d, task->job) && zone_allowed (task->job, m);
 }
 
 static void
@@ -546,9 +554,7 @@
   order.attempt = task->attempt;
   if (hzb_task_set_state (d->jobs, task, HZB_TASK_STARTING, m))
     {
-      guint at = (guint) task->job->team * HZB_N_CLASSES + task->job->class;
-      d->ahead_cpus[at] = MAX (0, d->ahead_cpus[at] - task->job->spec->cpus);
-      d->ahead_gpus[at] = MAX (0, d->ahead_gpus[at] - task->job->spec->gpus);
+      hzb_dispatch_started (d, task->job);
       g_array_append_val (orders, order);
     }
 }
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -27,6 +27,9 @@
 /* Orders for a machine that has just reported. */
 void hzb_dispatch_fill (HzbDispatch *dispatch, HzbMachine *machine, struct timespec now, GArray *orders);
 double hzb_job_mean_s (const HzbJob *job);
+/* One more task of the job may be started: its team's limit allows it, besides what goes first. */
+gboolean hzb_dispatch_team_may_use (HzbDispatch *dispatch, const HzbJob *job);
+void hzb_dispatch_started (HzbDispatch *dispatch, const HzbJob *job); /* one more was */
 /* The classes of waiting work, from priorities, guarantees and what the aims leave of time. */
 void hzb_dispatch_classes (HzbDispatch *dispatch, struct timespec now);
 /* How long from now the job's tasks may start so that the nearest aim not yet missed is met; *aim gets what
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -281,7 +281,7 @@
       const HzbMachine *m = f->machines->all->pdata[k];
       if (!m->type || m->wanted_back || m->spare || !kind_fits (m->type, m->zone, m->spot, need))
         continue;
-      if (m->state == HZB_MACHINE_ACTIVE || m->state == HZB_MACHINE_UNHEARD
+      if (m->state == HZB_MACHINE_ACTIVE || m->state == HZB_MACHINE_UNHEARD || m->state == HZB_MACHINE_LENT
           || (m->state == HZB_MACHINE_BOOTING && hzb_time_between (m->rented, now) < MAX (30, 2.5 * m->type->boot_s)))
         have += useful_units (m->type, need);
     }
@@ -311,7 +311,7 @@
       for (guint k = 0; k < f->machines->all->len && have + 1e-6 < wanted (need, 1); k++)
         {
           HzbMachine *m = f->machines->all->pdata[k];
-          if (m->spare && !m->wanted_back && m->state == HZB_MACHINE_ACTIVE && m->type
+          if (m->spare && !m->wanted_back && (m->state == HZB_MACHINE_ACTIVE || m->state == HZB_MACHINE_LENT) && m->type
               && kind_fits (m->type, m->zone, m->spot, need)
               && have + 1e-6 < wanted (need, unit_price (m->type, m->spot, need) / cheapest (f, need, FALSE)))
             {
@@ -401,7 +401,7 @@
     {
       HzbMachine *m = f->machines->all->pdata[i];
       Candidate c = { m, 0 };
-      if (m->state != HZB_MACHINE_ACTIVE || m->spare || m->wanted_back || !m->type)
+      if ((m->state != HZB_MACHINE_ACTIVE && m->state != HZB_MACHINE_LENT) || m->spare || m->wanted_back || !m->type)
         continue;
       c.price = (m->spot ? m->type->spot_price : m->type->price) / MAX (m->type->cpus, 1e-3);
       g_array_append_val (candidates, c);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -77,7 +77,9 @@
           job->failures = 0;
           m->failures = m->failed_jobs = 0;
           g_clear_pointer (&m->last_failed_job, g_free);
-          if (job->finished + job->done == job->n_tasks)
+          if (c->hold == HZB_HOLD_LEASED)
+            hzb_leases_finished (c->leases, task);
+          else if (job->finished + job->done == job->n_tasks)
             hzb_controller_end_job (c, job);
           else
             hzb_controller_flush_soon (c);
@@ -133,6 +135,11 @@
       hzb_task_set_state (c->jobs, task, state, m);
       task->seen = m->round;
     }
+  else if (task && (task->state == HZB_TASK_ELSEWHERE || task->state == HZB_TASK_GRANTED))
+    {
+      g_critical ("task %s/%u is on %s although it is in another block", job->uid, piece->task, m->name);
+      return;
+    }
   else if (task && hzb_task_on_machine (task) && task->machine == m)
     {
       if (task->attempt != piece->attempt && task->seen != m->round)
@@ -227,17 +234,76 @@
   hzb_exchange_reply (exchange, 421, hzb_wire_redirect (hzb_election_leader (c->election)), 0);
 }
 
+/* On a lessee: the machine, if it is in the block and the block is still ours. */
+static HzbMachine *
+leased_machine (HzbController *c, const HzbReport *report)
+{
+  HzbMachine *m = hzb_leases_valid (c->leases) ? hzb_machines_find (c->machines, report->host) : NULL;
+  if (m && report->token > m->token)
+    {
+      hzb_leases_give_machine (c->leases, m, "it has seen a newer token");
+      return NULL;
+    }
+  return m;
+}
+
+/* On the leader: its machines, and those nobody expected. NULL: the exchange has been answered. */
+static HzbMachine *
+own_machine (HzbController *c, const HzbReport *report, HzbExchange *exchange)
+{
+  guint64 term = hzb_election_term (c->election);
+  const char *lessee = NULL;
+  HzbMachine *m;
+
+  if (hzb_token_leader (report->token) > term)
+    {
+      hzb_election_step_down (c->election, "a worker has seen a newer token");
+      hzb_exchange_reply (exchange, 503, hzb_wire_error ("superseded"), 0);
+      return NULL;
+    }
+  if (c->hold < HZB_HOLD_RECOVERING)
+    {
+      /* Its lease should live while the records are read. A token that it has seen already is not lowered. */
+      hzb_exchange_reply (exchange, 200, hzb_wire_orders (MAX (hzb_token (term, 0), report->token), NULL), 0);
+      return NULL;
+    }
+  m = hzb_machines_find (c->machines, report->host);
+  if (!m && g_hash_table_contains (c->gone, report->host))
+    {
+      hzb_exchange_reply (exchange, 503, hzb_wire_error ("this machine was returned"), 0);
+      return NULL;
+    }
+  if (!m)
+    m = hzb_machines_add (c->machines, report->host, report->addr, report->type, report->zone, report->spot,
+                          HZB_MACHINE_BOOTING);
+  if (!m->token)
+    m->token = c->block->token;
+  /* A token that a worker has seen beyond what we know of: ours for it must not be lower. */
+  if (report->token > m->token && m->state != HZB_MACHINE_LENT)
+    m->token = hzb_leases_next_token (c->leases);
+  if (m->state == HZB_MACHINE_LENT)
+    lessee = hzb_leases_lessee (c->leases, m);
+  else if (report->pieces->len == 0 && report->notice_s < 0)
+    lessee = hzb_leases_offer (c->leases, m);
+  if (lessee)
+    {
+      hzb_exchange_reply (exchange, 421, hzb_wire_redirect (lessee), 0);
+      return NULL;
+    }
+  return m;
+}
+
 void
 hzb_gateway_report (HzbController *c, HzbExchange *exchange)
 {
   struct timespec now = hzb_clock_now (c->clock);
-  guint64 term = hzb_election_term (c->election);
   g_autoptr (GError) error = NULL;
   g_autoptr (HzbReport) report = NULL;
   g_autoptr (GArray) orders = g_array_new (FALSE, FALSE, sizeof (HzbOrder));
-  HzbMachine *m;
+  gboolean leads = hzb_election_leading (c->election);
+  HzbMachine *m = NULL;
 
-  if (!hzb_election_leading (c->election))
+  if (!leads && c->hold != HZB_HOLD_LEASED)
     {
       redirect (c, exchange);
       return;
@@ -248,27 +314,13 @@
       hzb_exchange_reply (exchange, 400, hzb_wire_error (error->message), 0);
       return;
     }
-  if (report->token > term)
-    {
-      hzb_election_step_down (c->election, "a worker has seen a newer token");
-      hzb_exchange_reply (exchange, 503, hzb_wire_error ("superseded"), 0);
-      return;
-    }
-  if (c->hold < HZB_HOLD_RECOVERING)
-    {
-      /* Its lease should live while the records are read. */
-      hzb_exchange_reply (exchange, 200, hzb_wire_orders (term, NULL), 0);
-      return;
-    }
-  m = hzb_machines_find (c->machines, report->host);
-  if (!m && g_hash_table_contains (c->gone, report->host))
+  if (!leads && !(m = leased_machine (c, report)))
     {
-      hzb_exchange_reply (exchange, 503, hzb_wire_error ("this machine was returned"), 0);
+      redirect (c, exchange);
       return;
     }
-  if (!m)
-    m = hzb_machines_add (c->machines, report->host, report->addr, report->type, report->zone, report->spot,
-                          HZB_MACHINE_BOOTING);
+  if (leads && !(m = own_machine (c, report, exchange)))
+    return;
   /* Guards against reports that a cut held back: what they say is as old as they are. */
   if (report->session < m->session || (report->session == m->session && report->seq <= m->seq))
     {
@@ -282,12 +334,12 @@
   m->heard = m->answered = now;
   if (!m->recorded)
     hzb_controller_flush_soon (c);
-  if (report->token == term)
+  if (report->token == m->token)
     {
       take_report (c, m, report, now, orders);
-      /* Starts only while nobody else can have been elected; see docs/safety.md. */
-      if (hzb_election_proven (c->election))
+      /* Starts only while nobody else can have been elected, or the lease is good; see docs/safety.md. */
+      if (leads ? hzb_election_proven (c->election) : hzb_leases_valid (c->leases))
         hzb_dispatch_fill (c->dispatch, m, now, orders);
     }
-  hzb_exchange_reply (exchange, 200, hzb_wire_orders (term, orders), 0);
+  hzb_exchange_reply (exchange, 200, hzb_wire_orders (m->token, orders), 0);
 }
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -4,7 +4,7 @@
 
 #include <string.h>
 
-static const char *const state_names[] = { "pending", "listed",  "unknown", "booked",   "starting", "fetching",
+static const char *const state_names[] = { "pending", "listed",  "unknown", "elsewhere", "granted", "booked",   "starting", "fetching",
                                            "waiting", "running", "saving",  "finished", "done" };
 
 static void
@@ -12,9 +12,10 @@
 {
   g_clear_pointer (&job->tasks, g_free);
   g_queue_clear (&job->retry);
+  job->elsewhere = job->lent_running = 0;
   job->cursor = job->pending = job->listed = job->unknown = job->placed = job->running = 0;
   job->finished = job->done = job->released = job->releasing = 0;
-  job->dirty = job->ending = job->has_progress = FALSE;
+  job->dirty = job->ending = job->has_progress = job->told_lessees = FALSE;
   job->failures = 0;
 }
 
@@ -58,7 +59,7 @@
 {
   return job->state == HZB_JOB_DONE        ? "done"
          : job->state == HZB_JOB_CANCELLED ? "cancelled"
-         : job->running > 0                ? "running"
+         : job->running + job->lent_running > 0 ? "running"
                                            : "queued";
 }
 
@@ -123,7 +124,7 @@
         job->spec = g_steal_pointer (&spec);
       job->n_tasks = job->spec->tasks;
       job->team = hzb_settings_team (jobs->settings, job->spec->team);
-      if (jobs->block)
+      if (jobs->block && !jobs->lessee)
         hzb_jobs_activate (jobs, job);
       return job;
     }
@@ -145,6 +146,8 @@
   gpointer value;
 
   jobs->block = block;
+  if (jobs->lessee)
+    return;
   g_hash_table_iter_init (&iter, jobs->by_uid);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (((HzbJob *) value)->state == HZB_JOB_ACCEPTED)
@@ -163,6 +166,7 @@
     }
   g_ptr_array_set_size (jobs->active, 0);
   jobs->block = NULL;
+  jobs->lessee = FALSE;
 }
 
 static gint
@@ -180,6 +184,7 @@
 hzb_jobs_activate (HzbJobs *jobs, HzbJob *job)
 {
   struct timespec now = hzb_clock_now (jobs->clock);
+  double waited;
 
   if (job->tasks || !job->spec || job->team < 0)
     return;
@@ -189,10 +194,19 @@
       job->tasks[i].job = job;
       job->tasks[i].index = i;
       job->tasks[i].since = now;
+      job->tasks[i].state = jobs->lessee ? HZB_TASK_ELSEWHERE : HZB_TASK_PENDING;
+    }
+  if (jobs->lessee)
+    {
+      job->elsewhere = job->n_tasks;
+      job->cursor = job->released = job->releasing = job->n_tasks;
     }
-  job->pending = job->n_tasks;
-  job->next_attempt = jobs->block->term << 20;
-  job->since = now;
+  else
+    job->pending = job->n_tasks;
+  /* Tokens are never used twice, so neither are attempts. */
+  job->next_attempt = jobs->block->token << 17;
+  waited = hzb_time_between (job->accepted, hzb_clock_wall (jobs->clock));
+  job->since = hzb_time_plus (now, -CLAMP (waited, 0, 86400));
   g_message ("job %s (%s, %s): %u tasks of %g CPUs, %g GB, %g s expected, image %s", job->uid, job->spec->lane,
              job->spec->team, job->n_tasks, job->spec->cpus, job->spec->memory_gb, job->spec->estimate_s, job->spec->image);
   g_ptr_array_add (jobs->active, job);
@@ -310,15 +324,17 @@
 #define SEEN (B (FETCHING) | B (WAITING) | B (RUNNING) | B (SAVING))
 
 static const guint legal[HZB_TASK_N_STATES] = {
-  [HZB_TASK_PENDING] = B (LISTED) | B (BOOKED) | B (UNKNOWN) | B (DONE) | SEEN | B (FINISHED),
+  [HZB_TASK_ELSEWHERE] = B (PENDING),
+  [HZB_TASK_GRANTED] = B (PENDING) | B (UNKNOWN) | B (FINISHED),
+  [HZB_TASK_PENDING] = B (ELSEWHERE) | B (GRANTED) | B (LISTED) | B (BOOKED) | B (UNKNOWN) | B (DONE) | SEEN | B (FINISHED),
   [HZB_TASK_LISTED] = B (PENDING) | B (BOOKED) | B (STARTING),
   [HZB_TASK_UNKNOWN] = B (PENDING) | SEEN | B (FINISHED) | B (DONE),
   [HZB_TASK_BOOKED] = B (PENDING) | B (STARTING),
-  [HZB_TASK_STARTING] = B (PENDING) | SEEN | B (FINISHED),
-  [HZB_TASK_FETCHING] = B (PENDING) | SEEN | B (FINISHED),
-  [HZB_TASK_WAITING] = B (PENDING) | SEEN | B (FINISHED),
-  [HZB_TASK_RUNNING] = B (PENDING) | SEEN | B (FINISHED),
-  [HZB_TASK_SAVING] = B (PENDING) | SEEN | B (FINISHED),
+  [HZB_TASK_STARTING] = B (PENDING) | SEEN | B (FINISHED) | B (ELSEWHERE),
+  [HZB_TASK_FETCHING] = B (PENDING) | SEEN | B (FINISHED) | B (ELSEWHERE),
+  [HZB_TASK_WAITING] = B (PENDING) | SEEN | B (FINISHED) | B (ELSEWHERE),
+  [HZB_TASK_RUNNING] = B (PENDING) | SEEN | B (FINISHED) | B (ELSEWHERE),
+  [HZB_TASK_SAVING] = B (PENDING) | SEEN | B (FINISHED) | B (ELSEWHERE),
   [HZB_TASK_FINISHED] = B (DONE),
   [HZB_TASK_DONE] = 0,
 };
@@ -338,6 +354,9 @@
     case HZB_TASK_UNKNOWN:
       job->unknown += by;
       break;
+    case HZB_TASK_ELSEWHERE:
+      job->elsewhere += by;
+      break;
     case HZB_TASK_FINISHED:
       job->finished += by;
       break;
@@ -352,13 +371,20 @@
     }
 }
 
+/* It counts against its team: it runs, or nobody can be sure that it does not. */
+static gboolean
+holds_room (const HzbTask *task)
+{
+  return hzb_task_on_machine (task) || task->state == HZB_TASK_UNKNOWN || task->state == HZB_TASK_GRANTED;
+}
+
 /* The only place where a task changes its state, its machine, and what its team has in use. */
 gboolean
 hzb_task_set_state (HzbJobs *jobs, HzbTask *task, HzbTaskState to, HzbMachine *machine)
 {
   HzbJob *job = task->job;
   const HzbSpec *spec = job->spec;
-  gboolean held = hzb_task_on_machine (task) || task->state == HZB_TASK_UNKNOWN, holds;
+  gboolean held = holds_room (task), holds;
 
   if (task->state == to && task->machine == machine)
     return TRUE;
@@ -379,7 +405,7 @@
     task->since = hzb_clock_now (jobs->clock);
   task->state = (guint8) to;
   task->machine = machine;
-  holds = hzb_task_on_machine (task) || to == HZB_TASK_UNKNOWN;
+  holds = holds_room (task);
   if (to == HZB_TASK_LISTED)
     hzb_machine_list (machine, task);
   if (hzb_task_on_machine (task) && machine)
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -25,6 +25,8 @@
   HZB_TASK_PENDING,  /* on no machine, in no list */
   HZB_TASK_LISTED,   /* in a machine's list */
   HZB_TASK_UNKNOWN,  /* may run on a machine that has not answered under our token */
+  HZB_TASK_ELSEWHERE, /* in another block (on a lessee only) */
+  HZB_TASK_GRANTED,   /* in a block that is leased to another controller, which may run it (on the leader only) */
   HZB_TASK_BOOKED,   /* a place is held for it; the start order has not been sent */
   HZB_TASK_STARTING, /* a start order was sent; no newer report yet */
   HZB_TASK_FETCHING,
@@ -43,6 +45,7 @@
   guint index;
   guint8 state; /* HzbTaskState, changed by hzb_task_set_state() only */
   guint8 tries;
+  guint8 lessee; /* 1 and up: whom it was granted to */
   gboolean stopping : 1;
   guint seen; /* the machine's last round of reports that named it */
   guint64 attempt;
@@ -64,12 +67,13 @@
   HzbTask *tasks;
   guint cursor;  /* tasks from here on have never been placed */
   GQueue retry;  /* HzbTask, pending again */
+  guint elsewhere, lent_running;
   guint pending; /* state PENDING, below the released mark or not */
   guint listed, unknown, placed, running, finished, done;
   guint released, releasing; /* tasks below may have been started: durable, and asked for */
   gboolean dirty, ending;    /* progress to be written; end being written */
   gboolean has_progress;     /* a progress record may exist */
-  gboolean guaranteed;
+  gboolean guaranteed, told_lessees;
   guint8 class; /* of waiting work, see hzb_dispatch_classes() */
   guint64 next_attempt;
   guint failures; /* in a row, without a task of the job doing well */
@@ -84,6 +88,7 @@
   HzbClock *clock;
   const HzbSettings *settings;
   HzbBlock *block; /* NULL: not a holder */
+  gboolean lessee; /* of the jobs only what was granted is in the block */
 } HzbJobs;
 
 HzbJobs *hzb_jobs_new (HzbClock *clock, const HzbSettings *settings);
--- a/src/machines.c
+++ b/src/machines.c
@@ -3,7 +3,7 @@
 #include <math.h>
 #include <string.h>
 
-static const char *const state_names[] = { "booting", "unheard", "active", "silent", "draining", "returning", "gone" };
+static const char *const state_names[] = { "booting", "unheard", "active", "lent", "silent", "draining", "returning", "gone" };
 
 static void
 machine_free (gpointer data)
@@ -118,9 +118,10 @@
 hzb_machine_set_state (HzbMachines *machines, HzbMachine *machine, HzbMachineState to, const char *why)
 {
   static const guint legal[HZB_MACHINE_N_STATES] = {
-    [HZB_MACHINE_BOOTING] = B (ACTIVE) | B (RETURNING) | B (DRAINING) | B (UNHEARD),
+    [HZB_MACHINE_BOOTING] = B (ACTIVE) | B (RETURNING) | B (DRAINING) | B (UNHEARD) | B (LENT),
+    [HZB_MACHINE_LENT] = B (UNHEARD),
     [HZB_MACHINE_UNHEARD] = B (ACTIVE) | B (RETURNING),
-    [HZB_MACHINE_ACTIVE] = B (SILENT) | B (DRAINING) | B (RETURNING),
+    [HZB_MACHINE_ACTIVE] = B (LENT) | B (SILENT) | B (DRAINING) | B (RETURNING),
     [HZB_MACHINE_SILENT] = B (ACTIVE) | B (RETURNING),
     [HZB_MACHINE_DRAINING] = B (SILENT) | B (RETURNING) | B (ACTIVE),
     [HZB_MACHINE_RETURNING] = B (GONE),
@@ -141,6 +142,16 @@
   return TRUE;
 }
 
+void
+hzb_machine_unhear (HzbMachines *machines, HzbMachine *machine, guint64 token, const char *why)
+{
+  machine->token = token;
+  machine->confirmed = FALSE;
+  machine->asked_back = FALSE;
+  machine->lessee = 0;
+  hzb_machine_set_state (machines, machine, HZB_MACHINE_UNHEARD, why);
+}
+
 const char *
 hzb_machine_state_name (HzbMachineState state)
 {
--- a/src/machines.h
+++ b/src/machines.h
@@ -11,6 +11,7 @@
   HZB_MACHINE_BOOTING,   /* rented, its worker has not reported */
   HZB_MACHINE_UNHEARD,   /* an earlier holder may have started tasks on it; it has not answered under our token */
   HZB_MACHINE_ACTIVE,    /* its last report was sent under our token */
+  HZB_MACHINE_LENT,      /* in a block that is leased to another controller */
   HZB_MACHINE_SILENT,    /* its lease is over: it has no tasks */
   HZB_MACHINE_DRAINING,  /* takes no more tasks */
   HZB_MACHINE_RETURNING, /* the cloud has been told; until it confirms the machine may still run */
@@ -29,6 +30,9 @@
   gboolean spot;
   HzbMachineState state; /* changed by hzb_machine_set_state() only */
   guint64 session, seq;
+  guint64 token;  /* the one under which it is answered, and has to have answered */
+  guint8 lessee;  /* 1 and up: whom it is lent to */
+  gboolean asked_back;
   struct timespec rented; /* or, of a machine found in the records, first known */
   struct timespec since, answered, heard, idle_since, notice_at;
   gboolean confirmed; /* a report sent under our token has come */
@@ -67,6 +71,8 @@
                               const char *zone, gboolean spot, HzbMachineState state);
 void hzb_machines_remove (HzbMachines *machines, HzbMachine *machine); /* it must be gone */
 gboolean hzb_machine_set_state (HzbMachines *machines, HzbMachine *machine, HzbMachineState to, const char *why);
+/* From now on it is answered under this token, and nothing is known of it until it has reported under it. */
+void hzb_machine_unhear (HzbMachines *machines, HzbMachine *machine, guint64 token, const char *why);
 const char *hzb_machine_state_name (HzbMachineState state);
 const char *hzb_machine_name (const HzbMachine *machine);
 cJSON *hzb_machine_pack (const HzbMachine *machine, struct timespec wall);
--- a/tests/test-jobs.c
+++ b/tests/test-jobs.c
@@ -64,7 +64,7 @@
             {
               const HzbTask *t = &job->tasks[i];
               counts[t->state]++;
-              if (hzb_task_on_machine (t) || t->state == HZB_TASK_UNKNOWN)
+              if (hzb_task_on_machine (t) || t->state == HZB_TASK_UNKNOWN || t->state == HZB_TASK_GRANTED)
                 used += 1.5;
               for (guint k = 0; k < 3 && hzb_task_on_machine (t); k++)
                 if (t->machine == m[k])
--- a/tests/test-world.c
+++ b/tests/test-world.c
@@ -301,8 +301,8 @@
   exchange->method = g_strdup ("POST");
   exchange->path = g_strdup ("/hello");
   exchange->body = g_strdup_printf ("{\"host\":\"%s\",\"addr\":\"10.1.0.1:1\",\"flavor\":\"%s\",\"yard\":\"%s\","
-                                    "\"loaners\":false,\"tenure\":%u,\"tick\":%u,\"baton\":%u,\"pieces\":[%s]}",
-                                    m->name, m->type, m->zone, (guint) session, (guint) seq, (guint) m->token, pieces);
+                                    "\"loaners\":false,\"tenure\":%u,\"tick\":%u,\"baton\":%" G_GUINT64_FORMAT ",\"pieces\":[%s]}",
+                                    m->name, m->type, m->zone, (guint) session, (guint) seq, m->token, pieces);
   exchange->length = strlen (exchange->body);
   exchange->reply = keep_status;
   exchange->impl = &status;
@@ -342,10 +342,10 @@
   world_run (w, 20);
   m = machine_with_tasks (w);
   c = w->nodes[world_leader (w)].c;
-  m->token += 7;
+  m->token += hzb_token (7, 0);
   g_assert_cmpuint (report_again (w, m, m->session, m->seq + 1, ""), ==, 503);
   g_assert_false (hzb_election_leading (c->election));
-  m->token -= 7;
+  m->token -= hzb_token (7, 0);
   world_run (w, 120);
   expect_all_over (w, "newer token", 12);
   world_free (w);
@@ -365,7 +365,7 @@
   g_assert_cmpuint (report_again (w, &m, 1, 1, "{\"piece\":\"run-555555/0\",\"try\":1,\"status\":\"ended\",\"cause\":\"error\"}"), ==, 200);
   g_assert_nonnull (strstr (last_body, "\"orders\":[]"));
   g_assert_cmpint (hzb_machines_find (c->machines, "i-900000")->state, ==, HZB_MACHINE_BOOTING);
-  m.token = hzb_election_term (c->election);
+  m.token = hzb_token (hzb_election_term (c->election), 0);
   g_assert_cmpuint (report_again (w, &m, 1, 2, ""), ==, 200);
   g_assert_cmpint (hzb_machines_find (c->machines, "i-900000")->state, ==, HZB_MACHINE_ACTIVE);
   world_free (w);
