--- a/src/gateway.c
+++ b/src/gateway.c
@@ -287,6 +287,14 @@
     lessee = hzb_leases_offer (c->leases, m);
   if (lessee)
     {
+      /* The lessee is told how far its reports have come, and only once it is on record. */
+      if (report->session > m->session || (report->session == m->session && report->seq > m->seq))
+        {
+          m->session = report->session;
+          m->seq = report->seq;
+        }
+      if (!m->recorded)
+        hzb_controller_flush_soon (c);
       hzb_exchange_reply (exchange, 421, hzb_wire_redirect (lessee), 0);
       return NULL;
     }
@@ -334,7 +342,9 @@
   m->heard = m->answered = now;
   if (!m->recorded)
     hzb_controller_flush_soon (c);
-  if (report->token == m->token)
+  /* A machine that nobody has ever recorded, and that has seen no token, holds nothing and obeys nobody yet: its
+   * report is as good as one under ours. (After a takeover every recorded machine is unheard, not booting.) */
+  if (report->token == m->token || (report->token == 0 && m->state == HZB_MACHINE_BOOTING && !report->pieces->len))
     {
       take_report (c, m, report, now, orders);
       /* Starts only while nobody else can have been elected, or the lease is good; see docs/safety.md. */
--- a/src/lease.c
+++ b/src/lease.c
@@ -233,10 +233,9 @@
   double own = 0, least;
   g_autofree double *cpus = g_new0 (double, leases->lessees->len + 1);
   Lessee *best = NULL;
-  cJSON *body;
 
   if ((machine->state != HZB_MACHINE_BOOTING && machine->state != HZB_MACHINE_ACTIVE) || machine->tasks->len
-      || hzb_machine_listed (machine) || !machine->recorded || !machine->type || machine->wanted_back || machine->spare
+      || hzb_machine_listed (machine) || !machine->type || machine->wanted_back || machine->spare
       || c->hold != HZB_HOLD_FULL || gang_waits (c))
     return NULL;
   for (guint i = 0; i < c->machines->all->len; i++)
@@ -266,17 +265,36 @@
   if (!best->token || machine->token >= best->token)
     best->token = hzb_leases_next_token (leases);
   machine->lessee = best->id;
+  machine->lend_sent = FALSE;
   hzb_machine_set_state (c->machines, machine, HZB_MACHINE_LENT, best->peer->node);
-  body = cJSON_CreateObject ();
-  cJSON_AddStringToObject (body, "machine", machine->name);
-  cJSON_AddStringToObject (body, "addr", machine->addr ? machine->addr : "");
-  cJSON_AddStringToObject (body, "type", machine->type_name);
-  cJSON_AddStringToObject (body, "zone", machine->zone);
-  cJSON_AddBoolToObject (body, "spot", machine->spot);
-  push (&best->out, ++best->out_number, body);
   return best->peer->node;
 }
 
+/* A lessee may start tasks on a machine as soon as it knows of it, so the machine is on record before. */
+static void
+send_lent (HzbLeases *leases)
+{
+  HzbController *c = leases->c;
+  for (guint i = 0; i < c->machines->all->len; i++)
+    {
+      HzbMachine *m = c->machines->all->pdata[i];
+      Lessee *lessee = m->state == HZB_MACHINE_LENT ? lessee_of (leases, m->lessee) : NULL;
+      cJSON *body;
+      if (!lessee || m->lend_sent || !m->recorded)
+        continue;
+      m->lend_sent = TRUE;
+      body = cJSON_CreateObject ();
+      cJSON_AddStringToObject (body, "machine", m->name);
+      cJSON_AddStringToObject (body, "addr", m->addr ? m->addr : "");
+      cJSON_AddStringToObject (body, "type", m->type_name);
+      cJSON_AddStringToObject (body, "zone", m->zone);
+      cJSON_AddBoolToObject (body, "spot", m->spot);
+      hzb_json_add_u64 (body, "session", m->session);
+      hzb_json_add_u64 (body, "seq", m->seq);
+      push (&lessee->out, ++lessee->out_number, body);
+    }
+}
+
 static void
 add_task (cJSON *groups, const HzbTask *task)
 {
@@ -494,7 +512,7 @@
     {
       HzbMachine *m = c->machines->all->pdata[i];
       cJSON *body;
-      if (m->state != HZB_MACHINE_LENT || m->lessee != lessee->id || m->asked_back || !(all || m->spare || m->wanted_back))
+      if (m->state != HZB_MACHINE_LENT || m->lessee != lessee->id || m->asked_back || !m->lend_sent || !(all || m->spare || m->wanted_back))
         continue;
       m->asked_back = TRUE;
       body = cJSON_CreateObject ();
@@ -514,6 +532,8 @@
   cJSON *reply;
   guint64 token = hzb_json_u64 (root, "token");
 
+  if (hzb_election_leading (c->election))
+    send_lent (leases);
   for (guint i = 0; node && i < leases->lessees->len; i++)
     if (g_str_equal (g_array_index (leases->lessees, Lessee, i).peer->node, node))
       lessee = &g_array_index (leases->lessees, Lessee, i);
@@ -676,6 +696,8 @@
                                         cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (batch, "spot")), HZB_MACHINE_BOOTING);
       m->recorded = TRUE;
       m->token = leases->token;
+      m->session = hzb_json_u64 (batch, "session");
+      m->seq = hzb_json_u64 (batch, "seq");
       m->heard = hzb_clock_now (c->clock);
     }
   if (back)
--- a/src/machines.h
+++ b/src/machines.h
@@ -32,7 +32,7 @@
   guint64 session, seq;
   guint64 token;  /* the one under which it is answered, and has to have answered */
   guint8 lessee;  /* 1 and up: whom it is lent to */
-  gboolean asked_back;
+  gboolean asked_back, lend_sent;
   struct timespec rented; /* or, of a machine found in the records, first known */
   struct timespec since, answered, heard, idle_since, notice_at;
   gboolean confirmed; /* a report sent under our token has come */
