--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -182,25 +182,10 @@
     }
 }
 
-/* A job larger than its team's limit runs in waves: how long until the last of them starts. */
-static double
-waves_s (const HzbSettings *settings, const HzbJob *job)
-{
-  const HzbTeam *team = settings->teams->pdata[job->team];
-  double waves = 1;
-  if (team->cpus_max > 0)
-    waves = MAX (waves, job->n_tasks * job->spec->cpus / team->cpus_max);
-  if (team->gpus_max > 0)
-    waves = MAX (waves, job->n_tasks * job->spec->gpus / team->gpus_max);
-  return (waves - 1) * hzb_job_mean_s (job);
-}
-
 double
 hzb_job_slack_s (const HzbSettings *settings, const HzbJob *job, struct timespec now, double *aim)
 {
   double mean = hzb_job_mean_s (job), age = hzb_time_between (job->since, now), least = INFINITY, allows = 120;
-  double run = 1.3 * mean + waves_s (settings, job);
-  gboolean aimed = FALSE;
 
   for (guint i = 0; i < settings->objectives->len; i++)
     {
@@ -209,14 +194,13 @@
       if (g_strcmp0 (o->lane, job->spec->lane) != 0)
         continue;
       if (g_str_equal (o->kind, "finished"))
-        by = o->within_s - run;
+        by = o->within_s - 1.3 * mean;
       else if (g_str_equal (o->kind, "wait"))
         by = o->within_s;
       else if (g_str_equal (o->kind, "deadline") && job->spec->deadline_s > 0)
-        by = job->spec->deadline_s * MAX (o->times, 1) - run;
+        by = job->spec->deadline_s * MAX (o->times, 1) - 1.3 * mean;
       else
         continue;
-      aimed = TRUE;
       if (by > age && by - age < least)
         {
           least = by - age;
@@ -225,8 +209,7 @@
     }
   if (aim)
     *aim = allows;
-  /* What is late for all its aims, or never could meet them, is worth no hurry any more. */
-  return isfinite (least) ? least : aimed ? 250 : MAX (120 - run, 10);
+  return isfinite (least) ? least : MAX (120 - 1.3 * mean, 10);
 }
 
 /* High priorities come first, then what a team is guaranteed, then what will miss its aim unless it starts
