--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -7,6 +7,8 @@
 #define PREEMPTIBLE_PART 0.3
 #define NEARLY_DONE_S 5.0
 #define FETCH_WEIGHT 2.0
+/* Lists are filled this far ahead. */
+#define LIST_AHEAD_S 8.0
 
 HzbDispatch *
 hzb_dispatch_new (HzbJobs *jobs, HzbMachines *machines, const HzbSettings *settings, GRand *rand)
@@ -166,6 +168,20 @@
   return best;
 }
 
+/* Seconds that the tasks of this class and higher ones in the machine's list will take it. */
+static double
+listed_s (const HzbMachine *m, guint class)
+{
+  double work = 0;
+  for (guint c = class; c < HZB_N_CLASSES; c++)
+    for (GList *l = m->lists[c].head; l; l = l->next)
+      {
+        const HzbTask *task = l->data;
+        work += hzb_job_mean_s (task->job) / MAX (1, hzb_type_speed (m->type, task->job->spec));
+      }
+  return work;
+}
+
 static void
 put_on_list (HzbDispatch *d, HzbTask *task, HzbMachine *m, struct timespec now)
 {
@@ -263,13 +279,27 @@
     }
 }
 
-static gint
-by_class (gconstpointer a, gconstpointer b)
+static double
+work_left (const HzbJob *job)
+{
+  return (job->pending + job->listed + job->unknown + 0.5 * job->placed) * hzb_job_mean_s (job) * MAX (job->spec->cpus, 0.1);
+}
+
+/* Within a class first come, first served, except where many wait: of batch work the job with least left goes
+ * first, since the aims count jobs that are over in time. What gets late is moved to a higher class. */
+gint
+hzb_dispatch_order (gconstpointer a, gconstpointer b)
 {
   const HzbJob *x = *(HzbJob *const *) a, *y = *(HzbJob *const *) b;
   int order = (int) y->class - (int) x->class;
   if (order)
     return order;
+  if (x->class <= 2)
+    {
+      double left = work_left (x), right = work_left (y);
+      if (left != right)
+        return left < right ? -1 : 1;
+    }
   if (hzb_time_before (x->accepted, y->accepted))
     return -1;
   return hzb_time_before (y->accepted, x->accepted) ? 1 : strcmp (x->uid, y->uid);
@@ -464,7 +494,7 @@
       d->ahead_cpus[at] += (job->pending + job->listed) * job->spec->cpus;
       d->ahead_gpus[at] += (job->pending + job->listed) * job->spec->gpus;
     }
-  g_ptr_array_sort (order, by_class);
+  g_ptr_array_sort (order, hzb_dispatch_order);
   for (guint i = 0; i < order->len && budget; i++)
     {
       HzbJob *job = order->pdata[i];
@@ -491,8 +521,10 @@
           if (!task)
             break;
           m = hzb_dispatch_choose (d, job, now);
-          if (!m)
+          if (!m || listed_s (m, job->class) > LIST_AHEAD_S)
             {
+              /* No machine, or even the least loaded has work for a while: it waits here, where what comes later
+               * and is more pressing can still go first. */
               g_queue_push_head (&job->retry, task);
               break;
             }
@@ -592,6 +624,40 @@
   return best;
 }
 
+/* A machine with room and nothing in any list for it takes what still waits for a list. */
+static void
+start_waiting (HzbDispatch *d, HzbMachine *m, guint class, struct timespec now, GArray *orders)
+{
+  g_autoptr (GPtrArray) order = g_ptr_array_new ();
+
+  for (guint i = 0; i < d->jobs->active->len; i++)
+    {
+      HzbJob *job = d->jobs->active->pdata[i];
+      if (job->state == HZB_JOB_ACCEPTED && job->class == class && job->pending && !job->failures && !job->spec->gang
+          && !hzb_time_before (now, job->not_before) && hzb_machine_allowed (m, job->spec)
+          && g_strcmp0 (m->last_failed_job, job->uid) != 0)
+        g_ptr_array_add (order, job);
+    }
+  g_ptr_array_sort (order, hzb_dispatch_order);
+  for (guint cached = 2; cached-- > 0;)
+    for (guint i = 0; i < order->len; i++)
+      {
+        HzbJob *job = order->pdata[i];
+        HzbTask *task;
+        if (cached && !g_hash_table_contains (m->images, job->spec->image))
+          continue;
+        while (hzb_machine_has_room (m, job->spec) && (task = hzb_job_next_pending (job, now)))
+          {
+            if (!startable (d, task, m))
+              {
+                g_queue_push_head (&job->retry, task);
+                break;
+              }
+            start (d, task, m, orders);
+          }
+      }
+}
+
 static double
 preempt_after_s (HzbDispatch *d, const HzbJob *job)
 {
@@ -712,6 +778,7 @@
           while ((task = find_move (d, m, (guint) class, cached == 1)))
             start (d, task, m, orders);
         }
+      start_waiting (d, m, (guint) class, now, orders);
     }
   preempt (d, m, now, orders);
 }
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -26,6 +26,7 @@
 void hzb_dispatch_rebook (HzbDispatch *dispatch, HzbMachine *machine, struct timespec now);
 /* Orders for a machine that has just reported. */
 void hzb_dispatch_fill (HzbDispatch *dispatch, HzbMachine *machine, struct timespec now, GArray *orders);
+gint hzb_dispatch_order (gconstpointer a, gconstpointer b); /* HzbJob**, the first served first */
 double hzb_job_mean_s (const HzbJob *job);
 /* One more task of the job may be started: its team's limit allows it, besides what goes first. */
 gboolean hzb_dispatch_team_may_use (HzbDispatch *dispatch, const HzbJob *job);
--- a/src/lease.c
+++ b/src/lease.c
@@ -360,15 +360,6 @@
   return FALSE;
 }
 
-static gint
-by_class (gconstpointer a, gconstpointer b)
-{
-  const HzbJob *x = *(HzbJob *const *) a, *y = *(HzbJob *const *) b;
-  if (x->class != y->class)
-    return (int) y->class - (int) x->class;
-  return hzb_time_before (x->accepted, y->accepted) ? -1 : hzb_time_before (y->accepted, x->accepted);
-}
-
 /* A lessee with room is as an idle machine is to a list: unstarted tasks move there. */
 static void
 feed (HzbLeases *leases, Lessee *lessee, double room, struct timespec now)
@@ -387,7 +378,7 @@
           && !job->spec->same_zone && !job->spec->spread && !hzb_time_before (now, job->not_before))
         g_ptr_array_add (order, job);
     }
-  g_ptr_array_sort (order, by_class);
+  g_ptr_array_sort (order, hzb_dispatch_order);
   for (guint i = 0; i < order->len && room > 0 && n < MOST_PER_ANSWER; i++)
     {
       HzbJob *job = order->pdata[i];
