--- a/src/admin.c
+++ b/src/admin.c
@@ -1,18 +1,176 @@
-/* The operators' side: state to read, under one versioned prefix. */
+/* The operators' side, under one versioned prefix, in the look of the user API. What belongs to a tenant has the
+ * tenant in its path; there is one so far. */
 #include "controller.h"
 
+#include <math.h>
 #include <string.h>
 
 #define PREFIX "/admin/v1/"
+#define TENANT "tenants/main/"
 
 static void
-reply_json (HzbExchange *exchange, cJSON *root)
+reply_json (HzbExchange *exchange, guint status, cJSON *root)
 {
   char *text = cJSON_PrintUnformatted (root);
   cJSON_Delete (root);
-  hzb_exchange_reply (exchange, 200, text, 0);
+  hzb_exchange_reply (exchange, status, text, 0);
 }
 
+static void
+refuse (HzbExchange *exchange, guint status, const char *format, ...)
+{
+  va_list args;
+  g_autofree char *text = NULL;
+  va_start (args, format);
+  text = g_strdup_vprintf (format, args);
+  va_end (args);
+  hzb_exchange_reply (exchange, status, hzb_wire_error (text), status == 503 ? 1 : 0);
+}
+
+/* ---- settings ---- */
+
+/* Operators' settings: kept in the state service, mirrored by every node and applied there at once. */
+typedef struct
+{
+  const char *name, *meaning;
+  double least, most, usual;
+} Setting;
+
+static const Setting settings[] = {
+  { "dispatchH", "weight of h/v in the dispatch rule, 0 for waiting to 1 for sojourn", 0, 1, 0.5 },
+  { "dispatchSample", "machines looked at for one task when more is asked than can be done", 1, 1000, 8 },
+  { "dispatchListAheadS", "seconds of work that a machine's list is filled ahead", 1, 3600, 8 },
+  { "fleetIdleS", "seconds that a machine without work is kept", 0, 86400, 40 },
+  { "fleetHaste", "part of the time that aims leave in which waiting work should start", 0.05, 2, 0.6 },
+  { "leaseBlocks", "1: blocks are leased to the other controllers, 0: the leader keeps all", 0, 1, 1 },
+};
+
+void
+hzb_admin_apply_settings (HzbController *c, const cJSON *value, guint64 version)
+{
+  double v[G_N_ELEMENTS (settings)];
+
+  if (version <= c->settings_version)
+    return;
+  c->settings_version = version;
+  for (guint i = 0; i < G_N_ELEMENTS (settings); i++)
+    {
+      v[i] = hzb_json_number (value, settings[i].name, settings[i].usual);
+      /* A record of another version of this program may hold what this one does not know. */
+      if (!(v[i] >= settings[i].least && v[i] <= settings[i].most))
+        v[i] = settings[i].usual;
+    }
+  c->dispatch->h = v[0];
+  c->dispatch->sample = (guint) v[1];
+  c->dispatch->list_ahead_s = v[2];
+  c->fleet->idle_s = v[3];
+  c->fleet->haste = v[4];
+  c->lease_blocks = v[5] >= 0.5;
+  if (value)
+    g_message ("the operators' settings of revision %" G_GUINT64_FORMAT " apply", version);
+}
+
+static cJSON *
+pack_settings (HzbController *c)
+{
+  const double v[G_N_ELEMENTS (settings)] = { c->dispatch->h,      c->dispatch->sample, c->dispatch->list_ahead_s,
+                                              c->fleet->idle_s, c->fleet->haste,     c->lease_blocks };
+  cJSON *root = cJSON_CreateObject (), *list;
+  hzb_json_add_u64 (root, "version", c->settings_version);
+  list = cJSON_AddObjectToObject (root, "settings");
+  for (guint i = 0; i < G_N_ELEMENTS (settings); i++)
+    cJSON_AddNumberToObject (list, settings[i].name, v[i]);
+  list = cJSON_AddObjectToObject (root, "meaning");
+  for (guint i = 0; i < G_N_ELEMENTS (settings); i++)
+    {
+      g_autofree char *text = g_strdup_printf ("%s; %g to %g, usually %g", settings[i].meaning, settings[i].least,
+                                               settings[i].most, settings[i].usual);
+      cJSON_AddStringToObject (list, settings[i].name, text);
+    }
+  return root;
+}
+
+typedef struct
+{
+  HzbController *c;
+  HzbExchange *exchange;
+  cJSON *value;
+} Change;
+
+static void
+on_changed (HzbStoreResult result, const char *body, gpointer user)
+{
+  g_autofree Change *change = user;
+  guint64 revision = 0;
+
+  if (result == HZB_STORE_OK)
+    {
+      hzb_wire_parse_txn (body, &revision, NULL);
+      hzb_admin_apply_settings (change->c, change->value, revision);
+      reply_json (change->exchange, 200, pack_settings (change->c));
+    }
+  else if (result == HZB_STORE_CONFLICT)
+    refuse (change->exchange, 409, "the settings have been changed meanwhile: read them again");
+  else
+    refuse (change->exchange, 503, result == HZB_STORE_UNKNOWN ? "it is not known whether the change was made: read the settings"
+                                                                : "the state service can't be asked");
+  cJSON_Delete (change->value);
+}
+
+static void
+change_settings (HzbController *c, HzbExchange *exchange)
+{
+  cJSON *root = cJSON_ParseWithLength (exchange->body, exchange->length);
+  const cJSON *wanted = cJSON_GetObjectItemCaseSensitive (root, "settings"), *item;
+  const cJSON *version = cJSON_GetObjectItemCaseSensitive (root, "version");
+  cJSON *packed = pack_settings (c), *value = cJSON_DetachItemFromObject (packed, "settings"), *txn;
+  g_autofree char *fault = NULL;
+  Change *change;
+
+  cJSON_Delete (packed);
+  if (!cJSON_IsObject (wanted) || !cJSON_IsNumber (version))
+    fault = g_strdup ("expected {\"version\": the one read, \"settings\": {…}}");
+  cJSON_ArrayForEach (item, wanted)
+    {
+      const Setting *known = NULL;
+      for (guint i = 0; i < G_N_ELEMENTS (settings); i++)
+        if (g_strcmp0 (settings[i].name, item->string) == 0)
+          known = &settings[i];
+      if (fault)
+        break;
+      if (!known)
+        fault = g_strdup_printf ("%s: no such setting", item->string);
+      else if (!cJSON_IsNumber (item) || !(item->valuedouble >= known->least && item->valuedouble <= known->most))
+        fault = g_strdup_printf ("%s: expected a number from %g to %g", known->name, known->least, known->most);
+      else
+        cJSON_ReplaceItemInObjectCaseSensitive (value, known->name, cJSON_CreateNumber (item->valuedouble));
+    }
+  if (!fault && hzb_json_u64 (root, "version") != c->settings_version)
+    {
+      refuse (exchange, 409, "version: the settings are at %" G_GUINT64_FORMAT ": read them again", c->settings_version);
+      cJSON_Delete (value);
+    }
+  else if (fault)
+    {
+      refuse (exchange, 400, "%s", fault);
+      cJSON_Delete (value);
+    }
+  else
+    {
+      change = g_new0 (Change, 1);
+      change->c = c;
+      change->exchange = exchange;
+      change->value = value;
+      txn = hzb_wire_txn ();
+      hzb_wire_txn_if (txn, HZB_KEY_SETTINGS, c->settings_version);
+      hzb_wire_txn_put (txn, HZB_KEY_SETTINGS, cJSON_Duplicate (value, TRUE), 0);
+      hzb_store_txn (c->store, HZB_STORE_ACCEPT, txn, on_changed, change);
+    }
+  cJSON_Delete (root);
+}
+
+/* ---- reading ---- */
+
 static cJSON *
 leadership (HzbController *c)
 {
@@ -25,6 +183,7 @@
   else
     cJSON_AddNullToObject (root, "leader");
   hzb_json_add_u64 (root, "term", hzb_election_leader_term (c->election));
+  cJSON_AddNumberToObject (root, "stateServiceSilentS", MIN (hzb_store_silence (c->store), 1e6));
   return root;
 }
 
@@ -44,6 +203,7 @@
       cJSON_AddNumberToObject (item, "tasks", m->tasks->len);
       cJSON_AddNumberToObject (item, "listed", hzb_machine_listed (m));
       cJSON_AddNumberToObject (item, "cpusUsed", m->cpus);
+      cJSON_AddBoolToObject (item, "toBeReturned", m->wanted_back);
       cJSON_AddItemToArray (list, item);
     }
   return root;
@@ -60,32 +220,139 @@
       cJSON_AddStringToObject (item, "name", team->name);
       cJSON_AddNumberToObject (item, "cpusGuaranteed", team->cpus);
       cJSON_AddNumberToObject (item, "cpusMax", team->cpus_max);
-      if (c->block)
-        cJSON_AddNumberToObject (item, "cpusUsed", c->block->cpus[i]);
+      cJSON_AddNumberToObject (item, "gpusGuaranteed", team->gpus);
+      cJSON_AddNumberToObject (item, "gpusMax", team->gpus_max);
+      cJSON_AddNumberToObject (item, "cpusUsed", c->block->cpus[i]);
+      cJSON_AddNumberToObject (item, "gpusUsed", c->block->gpus[i]);
       cJSON_AddItemToArray (list, item);
     }
   return root;
 }
 
+static cJSON *
+pack_job (const HzbJob *job)
+{
+  cJSON *item = cJSON_CreateObject ();
+  cJSON_AddStringToObject (item, "id", job->uid);
+  cJSON_AddStringToObject (item, "status", hzb_job_status (job));
+  cJSON_AddNumberToObject (item, "tasks", job->n_tasks);
+  if (job->tasks)
+    {
+      cJSON_AddStringToObject (item, "class", job->spec->lane);
+      cJSON_AddStringToObject (item, "team", job->spec->team);
+      cJSON_AddNumberToObject (item, "waiting", job->pending + job->listed);
+      cJSON_AddNumberToObject (item, "placed", job->placed);
+      cJSON_AddNumberToObject (item, "unknown", job->unknown);
+      cJSON_AddNumberToObject (item, "finished", job->finished);
+      cJSON_AddNumberToObject (item, "done", job->done);
+      cJSON_AddNumberToObject (item, "servedAs", job->class);
+      cJSON_AddNumberToObject (item, "failuresInARow", job->failures);
+    }
+  return item;
+}
+
+static cJSON *
+jobs (HzbController *c)
+{
+  cJSON *root = cJSON_CreateObject (), *list = cJSON_AddArrayToObject (root, "jobs");
+  guint n = MIN (c->jobs->active->len, 100);
+  for (guint i = 0; i < n; i++)
+    cJSON_AddItemToArray (list, pack_job (c->jobs->active->pdata[i]));
+  cJSON_AddNumberToObject (root, "unfinished", c->jobs->active->len);
+  return root;
+}
+
+/* ---- requests ---- */
+
+typedef cJSON *(*View) (HzbController *c);
+
+static void
+drain (HzbController *c, HzbExchange *exchange, const char *name)
+{
+  HzbMachine *m = hzb_machines_find (c->machines, name);
+  cJSON *root;
+  if (!m)
+    {
+      refuse (exchange, 404, "%s: no such machine", name);
+      return;
+    }
+  /* It takes no new tasks and goes back once it is empty; on record, so that a new leader does the same. */
+  m->wanted_back = m->drain = TRUE;
+  m->recorded = m->recording = FALSE;
+  hzb_controller_flush_soon (c);
+  g_message ("machine %s: an operator wants it drained", m->name);
+  root = cJSON_CreateObject ();
+  cJSON_AddStringToObject (root, "name", m->name);
+  cJSON_AddBoolToObject (root, "toBeReturned", TRUE);
+  reply_json (exchange, 200, root);
+}
+
+static cJSON *
+metrics (HzbController *c)
+{
+  return hzb_metrics_pack (c->metrics);
+}
+
+static cJSON *
+blocks (HzbController *c)
+{
+  return hzb_leases_pack (c->leases);
+}
+
 gboolean
 hzb_admin_request (HzbController *c, HzbExchange *exchange)
 {
+  static const struct
+  {
+    const char *path;
+    View view;
+    gboolean holder; /* only the leader knows */
+  } views[] = {
+    { "leadership", leadership, FALSE }, { "metrics", metrics, FALSE },      { "settings", pack_settings, FALSE },
+    { "machines", machines, TRUE },      { "blocks", blocks, TRUE },         { TENANT "teams", teams, TRUE },
+    { TENANT "jobs", jobs, TRUE },
+  };
   const char *what = exchange->path + strlen (PREFIX);
+  gboolean get = g_str_equal (exchange->method, "GET");
+  gboolean holds = c->hold >= HZB_HOLD_RECOVERING && hzb_election_leading (c->election);
 
   if (!g_str_has_prefix (exchange->path, PREFIX))
     return FALSE;
-  if (!g_str_equal (exchange->method, "GET"))
-    hzb_exchange_reply (exchange, 405, hzb_wire_error ("only GET here"), 0);
-  else if (g_str_equal (what, "leadership"))
-    reply_json (exchange, leadership (c));
-  else if (g_str_equal (what, "machines") || g_str_equal (what, "teams"))
+  for (guint i = 0; i < G_N_ELEMENTS (views); i++)
+    if (g_str_equal (what, views[i].path))
+      {
+        if (g_str_equal (exchange->method, "PUT") && views[i].view == pack_settings)
+          change_settings (c, exchange);
+        else if (!get)
+          refuse (exchange, 405, views[i].view == pack_settings ? "GET or PUT here" : "GET here");
+        else if (views[i].holder && !holds)
+          hzb_exchange_reply (exchange, 421, hzb_wire_redirect (hzb_election_leader (c->election)), 0);
+        else
+          reply_json (exchange, 200, views[i].view (c));
+        return TRUE;
+      }
+  if (g_str_has_prefix (what, TENANT "jobs/"))
+    {
+      const HzbJob *job = hzb_jobs_find (c->jobs, what + strlen (TENANT "jobs/"));
+      if (!get)
+        refuse (exchange, 405, "GET here");
+      else if (!job)
+        refuse (exchange, 404, "this node knows no such job");
+      else
+        reply_json (exchange, 200, pack_job (job));
+    }
+  else if (g_str_has_prefix (what, "machines/") && g_str_has_suffix (what, "/drain"))
     {
-      if (c->hold == HZB_HOLD_NONE)
+      g_autofree char *name = g_strndup (what + strlen ("machines/"), strlen (what) - strlen ("machines//drain"));
+      if (!g_str_equal (exchange->method, "POST"))
+        refuse (exchange, 405, "POST here");
+      else if (!holds)
         hzb_exchange_reply (exchange, 421, hzb_wire_redirect (hzb_election_leader (c->election)), 0);
       else
-        reply_json (exchange, *what == 'm' ? machines (c) : teams (c));
+        drain (c, exchange, name);
     }
   else
-    hzb_exchange_reply (exchange, 404, hzb_wire_error ("there are leadership, machines and teams here"), 0);
+    refuse (exchange, 404, "there are leadership, settings, metrics, machines, machines/NAME/drain, blocks, " TENANT "teams, " TENANT
+                           "jobs and " TENANT "jobs/ID here");
   return TRUE;
 }
--- a/src/controller.c
+++ b/src/controller.c
@@ -27,6 +27,8 @@
       else if (types)
         g_ptr_array_unref (types);
     }
+  else if (g_str_equal (item->key, HZB_KEY_SETTINGS))
+    hzb_admin_apply_settings (c, item->value, item->version);
   else
     hzb_election_item (c->election, item);
 }
@@ -269,6 +271,7 @@
                                                 HZB_MACHINE_UNHEARD);
               double age = (double) hzb_clock_wall (c->clock).tv_sec - hzb_json_number (item->value, "at", INFINITY);
               m->recorded = TRUE;
+              m->drain = m->wanted_back = cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (item->value, "drain"));
               if (age > 1)
                 m->rented = hzb_time_plus (m->rented, -(age - 1)); /* times of day differ a little */
             }
@@ -1224,11 +1227,37 @@
   hzb_api_tick (c->api);
 }
 
+static void
+on_answered (HzbExchange *exchange, guint status, gpointer user)
+{
+  HzbController *c = user;
+  hzb_metrics_answered (c->metrics, (HzbMetricKind) exchange->kind, status,
+                        hzb_time_between (exchange->began, hzb_clock_now (c->clock)));
+}
+
+static HzbMetricKind
+kind_of (const HzbExchange *exchange)
+{
+  gboolean post = g_str_equal (exchange->method, "POST");
+  if (g_str_equal (exchange->path, hzb_path_report))
+    return HZB_METRIC_REPORT;
+  if (!g_str_has_prefix (exchange->path, hzb_path_jobs))
+    return HZB_METRIC_OTHER;
+  if (g_str_has_suffix (exchange->path, hzb_path_cancel))
+    return HZB_METRIC_CANCEL;
+  return post ? HZB_METRIC_SUBMIT : HZB_METRIC_STATUS;
+}
+
 void
 hzb_controller_request (HzbExchange *exchange, gpointer user)
 {
   HzbController *c = user;
 
+  exchange->began = hzb_clock_now (c->clock);
+  exchange->kind = kind_of (exchange);
+  exchange->done = on_answered;
+  exchange->done_user = c;
+
   if (g_str_equal (exchange->path, hzb_path_report))
     {
       if (g_str_equal (exchange->method, "POST"))
@@ -1266,6 +1295,8 @@
   c->fleet = hzb_fleet_new (c->jobs, c->machines, settings);
   c->api = hzb_api_new (c);
   c->leases = hzb_leases_new (c);
+  c->metrics = hzb_metrics_new ();
+  c->lease_blocks = TRUE;
   c->incarnation = g_strdup_printf ("%08x%08x", g_rand_int (c->rand), g_rand_int (c->rand));
   c->display = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   c->listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -1285,6 +1316,7 @@
 {
   hzb_api_free (c->api);
   hzb_leases_free (c->leases);
+  hzb_metrics_free (c->metrics);
   g_free (c->incarnation);
   hzb_jobs_let_go (c->jobs);
   hzb_machines_clear (c->machines);
--- a/src/controller.h
+++ b/src/controller.h
@@ -5,11 +5,13 @@
 #include "election.h"
 #include "fleet.h"
 #include "http.h"
+#include "metrics.h"
 #include "store.h"
 
 #define HZB_KEY_MIRROR "hzb/a/"
 #define HZB_KEY_HOLDER "hzb/x/"
 #define HZB_KEY_FLUSH "hzb/x/flush"
+#define HZB_KEY_SETTINGS "hzb/a/settings"
 #define HZB_KEY_TYPES "hzb/a/types"
 
 typedef enum
@@ -58,6 +60,9 @@
   HzbBlock *block;
   HzbApi *api;
   HzbLeases *leases;
+  HzbMetrics *metrics;
+  guint64 settings_version; /* of the operators' settings */
+  gboolean lease_blocks;
   char *incarnation;
   GArray *peers; /* HzbPeerView */
   guint64 heard_term; /* the highest that a peer knew of */
@@ -109,6 +114,7 @@
 const char *hzb_leases_lessee (HzbLeases *leases, const HzbMachine *machine);
 guint64 hzb_leases_next_token (HzbLeases *leases);
 void hzb_leases_durable (HzbLeases *leases, HzbTask *task); /* of a task that a lessee has finished */
+cJSON *hzb_leases_pack (HzbLeases *leases);
 void hzb_leases_cancelled (HzbLeases *leases, HzbJob *job);
 /* On a lessee. */
 void hzb_leases_clear_own (HzbLeases *leases);
@@ -125,4 +131,5 @@
 void hzb_api_request (HzbApi *api, HzbExchange *exchange);
 
 /* admin.c */
+void hzb_admin_apply_settings (HzbController *c, const cJSON *value, guint64 version);
 gboolean hzb_admin_request (HzbController *c, HzbExchange *exchange); /* FALSE: not its path */
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -7,8 +7,6 @@
 #define PREEMPTIBLE_PART 0.3
 #define NEARLY_DONE_S 5.0
 #define FETCH_WEIGHT 2.0
-/* Lists are filled this far ahead. */
-#define LIST_AHEAD_S 8.0
 
 HzbDispatch *
 hzb_dispatch_new (HzbJobs *jobs, HzbMachines *machines, const HzbSettings *settings, GRand *rand)
@@ -21,6 +19,7 @@
   d->ahead_cpus = g_new0 (double, settings->teams->len * HZB_N_CLASSES);
   d->ahead_gpus = g_new0 (double, settings->teams->len * HZB_N_CLASSES);
   d->h = 0.5;
+  d->list_ahead_s = 8;
   d->sample = 8;
   return d;
 }
@@ -522,7 +521,7 @@
           if (!task)
             break;
           m = hzb_dispatch_choose (d, job, now);
-          if (!m || listed_s (m, job->class) > LIST_AHEAD_S)
+          if (!m || listed_s (m, job->class) > d->list_ahead_s)
             {
               /* No machine, or even the least loaded has work for a while: it waits here, where what comes later
                * and is more pressing can still go first. */
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -10,6 +10,7 @@
   const HzbSettings *settings;
   GRand *rand;
   double h;
+  double list_ahead_s;  /* lists are filled this far ahead */
   guint sample;         /* machines looked at for one task when lagging; 0: all */
   gboolean lagging;     /* more is asked than can be done: samples in place of full searches */
   double *ahead_cpus, *ahead_gpus; /* [team][class]: what waits and goes first */
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -36,6 +36,8 @@
   f->jobs = jobs;
   f->machines = machines;
   f->settings = settings;
+  f->idle_s = 40;
+  f->haste = 0.6;
   f->refused = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return f;
 }
@@ -96,7 +98,7 @@
 start_within_s (HzbFleet *f, const HzbJob *job, struct timespec now)
 {
   double slack = hzb_job_slack_s (f->settings, job, now, NULL);
-  return CLAMP (0.6 * slack, 10, 150);
+  return CLAMP (f->haste * slack, 10, 150);
 }
 
 static char *
@@ -451,7 +453,7 @@
       if (m->spare && hzb_machine_listed (m))
         hzb_machine_empty_lists (f->jobs, m);
       if (m->state == HZB_MACHINE_ACTIVE && m->tasks->len == 0 && hzb_machine_listed (m) == 0
-          && age > 55 /* the first minute is paid in any case */ && (m->spare ? idle > 2 : idle > 40))
+          && age > 55 /* the first minute is paid in any case */ && (m->spare ? idle > 2 : idle > f->idle_s))
         g_ptr_array_add (out, m);
       else if (m->state == HZB_MACHINE_BOOTING && m->type && age > MAX (40, 2.2 * m->type->boot_s))
         g_ptr_array_add (out, m); /* some never come up */
--- a/src/http.c
+++ b/src/http.c
@@ -107,6 +107,8 @@
 void
 hzb_exchange_reply (HzbExchange *exchange, guint status, char *body, guint retry_after_s)
 {
+  if (exchange->done)
+    exchange->done (exchange, status, exchange->done_user);
   exchange->reply (exchange, status, body, retry_after_s);
   g_free (body);
   g_free (exchange->method);
--- a/src/http.h
+++ b/src/http.h
@@ -1,6 +1,7 @@
 /* HTTP both ways, behind two small faces so that tests can put stand-ins in their place. */
 #pragma once
 #include <glib.h>
+#include <time.h>
 
 /* status 0: no answer, the request may or may not have been carried out */
 typedef void (*HzbReplyFunc) (guint status, const char *body, gsize length, gpointer user);
@@ -30,6 +31,10 @@
   gsize length;
   void (*reply) (HzbExchange *self, guint status, const char *body, guint retry_after_s);
   gpointer impl, server;
+  struct timespec began;
+  guint kind;
+  void (*done) (HzbExchange *self, guint status, gpointer user); /* called as it is answered; may be NULL */
+  gpointer done_user;
   gboolean *answered; /* set while its handler runs */
 };
 
--- a/src/lease.c
+++ b/src/lease.c
@@ -232,6 +232,8 @@
   g_autofree double *cpus = g_new0 (double, leases->lessees->len + 1);
   Lessee *best = NULL;
 
+  if (!c->lease_blocks)
+    return NULL;
   if ((machine->state != HZB_MACHINE_BOOTING && machine->state != HZB_MACHINE_ACTIVE) || machine->tasks->len
       || hzb_machine_listed (machine) || !machine->type || machine->wanted_back || machine->spare
       || c->hold != HZB_HOLD_FULL || gang_waits (c))
@@ -565,7 +567,7 @@
                 take_event (leases, lessee, event);
               }
           set_running (leases, lessee, cJSON_GetObjectItemCaseSensitive (root, "running"));
-          ask_back (leases, lessee, gang_waits (c));
+          ask_back (leases, lessee, gang_waits (c) || !c->lease_blocks);
           /* Only once it has all that was sent before, or its room would be filled twice. */
           if (!lessee->out.length)
             feed (leases, lessee, hzb_json_number (root, "room", 0), now);
@@ -584,6 +586,44 @@
   }
 }
 
+cJSON *
+hzb_leases_pack (HzbLeases *leases)
+{
+  HzbController *c = leases->c;
+  cJSON *root = cJSON_CreateObject (), *list = cJSON_AddArrayToObject (root, "blocks");
+
+  for (guint i = 0; i <= leases->lessees->len; i++)
+    {
+      const Lessee *lessee = i ? &g_array_index (leases->lessees, Lessee, i - 1) : NULL;
+      cJSON *block = cJSON_CreateObject ();
+      guint n = 0, granted = 0;
+      double cpus = 0;
+      for (guint k = 0; k < c->machines->all->len; k++)
+        {
+          const HzbMachine *m = c->machines->all->pdata[k];
+          if (m->type && (lessee ? m->state == HZB_MACHINE_LENT && m->lessee == lessee->id : m->state == HZB_MACHINE_ACTIVE))
+            {
+              n++;
+              cpus += m->type->cpus;
+            }
+        }
+      for (guint k = 0; lessee && k < c->jobs->active->len; k++)
+        {
+          const HzbJob *job = c->jobs->active->pdata[k];
+          for (guint t = 0; job->placed && t < job->n_tasks; t++)
+            granted += job->tasks[t].state == HZB_TASK_GRANTED && job->tasks[t].lessee == lessee->id;
+        }
+      cJSON_AddStringToObject (block, "holder", lessee ? lessee->peer->node : c->settings->node);
+      hzb_json_add_u64 (block, "token", lessee ? lessee->token : c->block->token);
+      cJSON_AddNumberToObject (block, "machines", n);
+      cJSON_AddNumberToObject (block, "cpus", cpus);
+      if (lessee)
+        cJSON_AddNumberToObject (block, "tasksGranted", granted);
+      cJSON_AddItemToArray (list, block);
+    }
+  return root;
+}
+
 /* ---- the lessee ---- */
 
 gboolean
--- a/src/machines.c
+++ b/src/machines.c
@@ -173,6 +173,8 @@
   cJSON_AddStringToObject (value, "zone", m->zone);
   cJSON_AddBoolToObject (value, "spot", m->spot);
   cJSON_AddNumberToObject (value, "at", (double) wall.tv_sec);
+  if (m->drain)
+    cJSON_AddTrueToObject (value, "drain");
   return value;
 }
 
--- a/src/machines.h
+++ b/src/machines.h
@@ -37,7 +37,7 @@
   struct timespec since, answered, heard, idle_since, notice_at;
   gboolean confirmed; /* a report sent under our token has come */
   gboolean recorded, recording;
-  gboolean wanted_back;
+  gboolean wanted_back, drain; /* drain: by an operator */
   gboolean spare; /* takes no new tasks: there are more machines than work */
   guint surplus;  /* for how many plans in a row it has been one too many */
   double cpus, gpus, memory; /* in use by tasks that are on it, or may be */
--- /dev/null
+++ b/src/metrics.c
@@ -0,0 +1,73 @@
+#include "metrics.h"
+
+#include <gsl/gsl_histogram.h>
+
+static const char *const names[] = { "reports", "submissions", "statusRequests", "cancellations", "others" };
+
+/* Upper edges of the buckets in seconds. */
+static const double edges[] = { 0, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 1e9 };
+
+struct _HzbMetrics
+{
+  guint64 answers[HZB_METRIC_N_KINDS][6]; /* by the status's first digit */
+  gsl_histogram *seconds[HZB_METRIC_N_KINDS];
+};
+
+HzbMetrics *
+hzb_metrics_new (void)
+{
+  HzbMetrics *m = g_new0 (HzbMetrics, 1);
+  for (guint i = 0; i < HZB_METRIC_N_KINDS; i++)
+    {
+      m->seconds[i] = gsl_histogram_alloc (G_N_ELEMENTS (edges) - 1);
+      gsl_histogram_set_ranges (m->seconds[i], edges, G_N_ELEMENTS (edges));
+    }
+  return m;
+}
+
+void
+hzb_metrics_free (HzbMetrics *m)
+{
+  for (guint i = 0; i < HZB_METRIC_N_KINDS; i++)
+    gsl_histogram_free (m->seconds[i]);
+  g_free (m);
+}
+
+void
+hzb_metrics_answered (HzbMetrics *m, HzbMetricKind kind, guint status, double seconds)
+{
+  m->answers[kind][MIN (status / 100, 5)]++;
+  gsl_histogram_increment (m->seconds[kind], CLAMP (seconds, 0, 1e8));
+}
+
+cJSON *
+hzb_metrics_pack (const HzbMetrics *m)
+{
+  cJSON *root = cJSON_CreateObject ();
+  for (guint i = 0; i < HZB_METRIC_N_KINDS; i++)
+    {
+      cJSON *kind = cJSON_AddObjectToObject (root, names[i]), *buckets;
+      double sum = gsl_histogram_sum (m->seconds[i]);
+      for (guint d = 2; d < 6; d++)
+        {
+          char name[8];
+          g_snprintf (name, sizeof name, "%uxx", d);
+          cJSON_AddNumberToObject (kind, name, (double) m->answers[i][d]);
+        }
+      cJSON_AddNumberToObject (kind, "count", sum);
+      buckets = cJSON_AddArrayToObject (kind, "latency");
+      for (gsize b = 0; b < gsl_histogram_bins (m->seconds[i]); b++)
+        {
+          double low, high;
+          cJSON *bucket = cJSON_CreateObject ();
+          gsl_histogram_get_range (m->seconds[i], b, &low, &high);
+          if (high < 1e8)
+            cJSON_AddNumberToObject (bucket, "belowS", high);
+          else
+            cJSON_AddNullToObject (bucket, "belowS");
+          cJSON_AddNumberToObject (bucket, "count", gsl_histogram_get (m->seconds[i], b));
+          cJSON_AddItemToArray (buckets, bucket);
+        }
+    }
+  return root;
+}
--- a/tests/test-world.c
+++ b/tests/test-world.c
@@ -593,6 +593,67 @@
     }
 }
 
+static guint
+ask_admin (World *w, guint at, const char *method, const char *path, const char *body)
+{
+  HzbExchange *exchange = g_new0 (HzbExchange, 1);
+  static guint status;
+  status = 0;
+  exchange->method = g_strdup (method);
+  exchange->path = g_strconcat ("/admin/v1/", path, NULL);
+  exchange->body = g_strdup (body);
+  exchange->length = strlen (body);
+  exchange->reply = keep_status;
+  exchange->impl = &status;
+  hzb_controller_request (exchange, w->nodes[at].c);
+  world_run (w, w->now + 0.3);
+  return status;
+}
+
+/* Operators: settings are checked, refused when another has changed them, and apply on all nodes; a machine is
+ * drained, also by a later leader. */
+static void
+test_administration (void)
+{
+  World *w = world_new (50);
+  WorldMachine *m;
+  g_autofree char *path = NULL;
+  int leader;
+  world_add_job (w, 1, "red", 6, 2, 60);
+  world_run (w, 20);
+  leader = world_leader (w);
+  g_assert_cmpuint (ask_admin (w, 0, "GET", "settings", ""), ==, 200);
+  g_assert_nonnull (strstr (last_body, "\"version\":0"));
+  g_assert_cmpuint (ask_admin (w, 0, "PUT", "settings", "{\"version\":0,\"settings\":{\"dispatchH\":1.5}}"), ==, 400);
+  g_assert_nonnull (strstr (last_body, "dispatchH: expected a number from 0 to 1"));
+  g_assert_cmpuint (ask_admin (w, 0, "PUT", "settings", "{\"version\":0,\"settings\":{\"speed\":1}}"), ==, 400);
+  g_assert_cmpuint (ask_admin (w, 0, "PUT", "settings", "{\"settings\":{}}"), ==, 400);
+  g_assert_cmpuint (ask_admin (w, 0, "PUT", "settings", "{\"version\":0,\"settings\":{\"dispatchH\":0.25}}"), ==, 200);
+  for (guint i = 0; i < WORLD_NODES; i++)
+    g_assert_cmpfloat (w->nodes[i].c->dispatch->h, ==, 0.25);
+  g_assert_cmpuint (ask_admin (w, 1, "PUT", "settings", "{\"version\":0,\"settings\":{\"dispatchH\":0.75}}"), ==, 409);
+  g_assert_cmpuint (ask_admin (w, 1, "DELETE", "settings", ""), ==, 405);
+  g_assert_cmpuint (ask_admin (w, 1, "GET", "nonsense", ""), ==, 404);
+  g_assert_cmpuint (ask_admin (w, 1, "GET", "metrics", ""), ==, 200);
+  g_assert_cmpuint (ask_admin (w, (guint) leader, "GET", "blocks", ""), ==, 200);
+  g_assert_cmpuint (ask_admin (w, (guint) leader, "GET", "tenants/main/teams", ""), ==, 200);
+  g_assert_cmpuint (ask_admin (w, (guint) leader, "GET", "tenants/main/jobs/run-100000", ""), ==, 200);
+  g_assert_cmpuint (ask_admin (w, ((guint) leader + 1) % WORLD_NODES, "GET", "machines", ""), ==, 421);
+  m = machine_with_tasks (w);
+  path = g_strdup_printf ("machines/%s/drain", m->name);
+  g_assert_cmpuint (ask_admin (w, (guint) leader, "POST", "machines/i-777777/drain", ""), ==, 404);
+  g_assert_cmpuint (ask_admin (w, (guint) leader, "POST", path, ""), ==, 200);
+  world_run (w, w->now + 2);
+  world_crash (w, (guint) leader);
+  world_start (w, (guint) leader);
+  world_run (w, 250);
+  g_assert_true (m->gone);
+  for (guint i = 0; i < WORLD_NODES; i++) /* a new process has them too */
+    g_assert_cmpfloat (w->nodes[i].c->dispatch->h, ==, 0.25);
+  expect_all_over (w, "administration", 50);
+  world_free (w);
+}
+
 /* The checks themselves: each can fail. */
 static void
 test_checks_can_fail (void)
@@ -643,6 +704,7 @@
   g_test_add_func ("/world/late-flush", test_late_flush);
   g_test_add_func ("/world/surprise-machine", test_surprise_machine);
   g_test_add_func ("/world/gang-loses-machine", test_gang_loses_machine);
+  g_test_add_func ("/world/administration", test_administration);
   g_test_add_func ("/world/lessee-ends", test_lessee_ends);
   g_test_add_func ("/world/lessee-cut-off", test_lessee_cut_off);
   g_test_add_func ("/world/leader-of-lessees-ends", test_leader_of_lessees_ends);
