--- a/src/controller.c
+++ b/src/controller.c
@@ -1190,6 +1190,10 @@
 {
   struct timespec now = hzb_clock_now (c->clock);
 
+  if (hzb_time_is_set (c->last_tick))
+    hzb_dispatch_note_lag (c->dispatch, hzb_time_between (c->last_tick, now) - HZB_TICK_MS / 1000.0);
+  c->last_tick = now;
+
   hzb_store_pump (c->store);
   hzb_cloud_pump (c->cloud);
   mirror_step (c);
--- a/src/controller.h
+++ b/src/controller.h
@@ -14,6 +14,8 @@
 #define HZB_KEY_SETTINGS "hzb/a/settings"
 #define HZB_KEY_TYPES "hzb/a/types"
 
+#define HZB_TICK_MS 50
+
 typedef enum
 {
   HZB_MIRROR_EMPTY,
@@ -87,6 +89,7 @@
   GHashTable *listed; /* names in the pages read so far */
   struct timespec list_began;
   GPtrArray *forget_keys; /* records of machines that are gone */
+  struct timespec last_tick; /* the timer's */
   struct timespec hold_since, next_list, next_types, next_plan, next_peers, next_return, next_flush, next_dispatch, next_summary;
 } HzbController;
 
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -32,6 +32,18 @@
   g_free (d);
 }
 
+void
+hzb_dispatch_note_lag (HzbDispatch *d, double late_s)
+{
+  gboolean lagging;
+
+  d->lag_s += (CLAMP (late_s, 0, 5) - d->lag_s) * 0.1;
+  lagging = d->lagging ? d->lag_s > 0.05 : d->lag_s > 0.25;
+  if (lagging != d->lagging)
+    g_message ("dispatch: timers are %.2f s late, %s", d->lag_s, lagging ? "machines are sampled" : "full searches again");
+  d->lagging = lagging;
+}
+
 double
 hzb_job_mean_s (const HzbJob *job)
 {
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -13,6 +13,7 @@
   double list_ahead_s;  /* lists are filled this far ahead */
   guint sample;         /* machines looked at for one task when lagging; 0: all */
   gboolean lagging;     /* more is asked than can be done: samples in place of full searches */
+  double lag_s;         /* how late timers fire, smoothed */
   double *ahead_cpus, *ahead_gpus; /* [team][class]: what waits and goes first */
 } HzbDispatch;
 
@@ -27,6 +28,8 @@
 void hzb_dispatch_rebook (HzbDispatch *dispatch, HzbMachine *machine, struct timespec now);
 /* Orders for a machine that has just reported. */
 void hzb_dispatch_fill (HzbDispatch *dispatch, HzbMachine *machine, struct timespec now, GArray *orders);
+/* A timer fired this much late: what the processor's share does not cover shows there first. */
+void hzb_dispatch_note_lag (HzbDispatch *dispatch, double late_s);
 gint hzb_dispatch_order (gconstpointer a, gconstpointer b); /* HzbJob**, the first served first */
 double hzb_job_mean_s (const HzbJob *job);
 /* One more task of the job may be started: its team's limit allows it, besides what goes first. */
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -455,10 +455,8 @@
       if (m->state == HZB_MACHINE_ACTIVE && m->tasks->len == 0 && hzb_machine_listed (m) == 0
           && age > 55 /* the first minute is paid in any case */ && (m->spare ? idle > 2 : idle > f->idle_s))
         g_ptr_array_add (out, m);
-      else if (m->state == HZB_MACHINE_BOOTING && m->type && age > MAX (40, 2.2 * m->type->boot_s))
+      else if (m->state == HZB_MACHINE_BOOTING && age > (m->type ? MAX (40, 2.2 * m->type->boot_s) : 300))
         g_ptr_array_add (out, m); /* some never come up */
-      else if (m->state == HZB_MACHINE_BOOTING && !m->type && age > 300)
-        g_ptr_array_add (out, m);
     }
   return out;
 }
--- a/src/main.c
+++ b/src/main.c
@@ -96,7 +96,7 @@
       return 1;
     }
   g_message ("hazelbank %s, node %s, users and workers at %s", HZB_VERSION, settings->node, settings->api_addr);
-  g_timeout_add (50, on_tick, controller);
+  g_timeout_add (HZB_TICK_MS, on_tick, controller);
   hzb_controller_tick (controller);
   loop = g_main_loop_new (NULL, FALSE);
   g_main_loop_run (loop);
--- a/tests/test-dispatch.c
+++ b/tests/test-dispatch.c
@@ -88,6 +88,26 @@
   bench_down (&b);
 }
 
+/* Sampling goes on after a second or so of late timers, not at one, and off once they are on time again. */
+static void
+test_lag (void)
+{
+  Bench b;
+  bench_up (&b, 7);
+  hzb_dispatch_note_lag (b.dispatch, 1);
+  g_assert_false (b.dispatch->lagging);
+  for (guint i = 0; i < 8; i++)
+    hzb_dispatch_note_lag (b.dispatch, 0.8);
+  g_assert_true (b.dispatch->lagging);
+  for (guint i = 0; i < 4; i++)
+    hzb_dispatch_note_lag (b.dispatch, 0);
+  g_assert_true (b.dispatch->lagging);
+  for (guint i = 0; i < 40; i++)
+    hzb_dispatch_note_lag (b.dispatch, 0);
+  g_assert_false (b.dispatch->lagging);
+  bench_down (&b);
+}
+
 static guint
 count_orders (const GArray *orders, HzbOrderKind kind)
 {
@@ -260,6 +280,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/dispatch/rule-plain-model", test_rule);
   g_test_add_func ("/dispatch/sampling", test_sampling);
+  g_test_add_func ("/dispatch/lag", test_lag);
   g_test_add_func ("/dispatch/limit", test_limit);
   g_test_add_func ("/dispatch/move-to-idle", test_move_to_idle);
   g_test_add_func ("/dispatch/preemption", test_preemption);
