--- a/src/controller.c
+++ b/src/controller.c
@@ -719,11 +719,7 @@
 
   if (c->renting || !hzb_election_proven (c->election) || !c->machines->types)
     return;
-  if (!c->rented_first && c->hold == HZB_HOLD_FULL && !c->machines->all->len && !g_hash_table_size (c->jobs->by_uid))
-    rentals = hzb_fleet_first_rentals (c->fleet);
-  else
-    rentals = hzb_fleet_rentals (c->fleet, now);
-  c->rented_first = c->rented_first || rentals->len;
+  rentals = hzb_fleet_rentals (c->fleet, now);
   for (guint i = 0; i < rentals->len; i++)
     {
       const HzbRental *rental = &g_array_index (rentals, HzbRental, i);
--- a/src/controller.h
+++ b/src/controller.h
@@ -84,7 +84,6 @@
   gboolean asking_types, listing;
   guint renting, returning;
   guint64 rent_number;
-  gboolean rented_first;
   char *list_after;
   GHashTable *gone;   /* names given back: lists lag */
   GHashTable *listed; /* names in the pages read so far */
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -365,41 +365,6 @@
   return out;
 }
 
-#define FIRST_PART 0.3
-
-GArray *
-hzb_fleet_first_rentals (HzbFleet *f)
-{
-  GArray *out = g_array_new (FALSE, FALSE, sizeof (HzbRental));
-  GPtrArray *types = f->machines->types;
-  const HzbMachineType *best = NULL;
-  double wanted_cpus = 0, least = INFINITY;
-  guint zones, count;
-
-  for (guint i = 0; i < f->settings->teams->len; i++)
-    wanted_cpus += FIRST_PART * ((HzbTeam *) f->settings->teams->pdata[i])->cpus;
-  for (guint t = 0; types && t < types->len; t++)
-    {
-      const HzbMachineType *type = types->pdata[t];
-      double cost = type->cpus > 0 ? with_boot (type, type->spot_price / type->cpus) : INFINITY;
-      if (type->zones[0] && cost < least)
-        {
-          least = cost;
-          best = type;
-        }
-    }
-  if (!best || wanted_cpus <= 0)
-    return out;
-  zones = g_strv_length (best->zones);
-  count = (guint) ceil (wanted_cpus / best->cpus / zones);
-  for (guint z = 0; z < zones; z++)
-    {
-      HzbRental rental = { best, best->zones[z], TRUE, CLAMP (count, 1, 50) };
-      g_array_append_val (out, rental);
-    }
-  return out;
-}
-
 typedef struct
 {
   HzbMachine *m;
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -23,9 +23,6 @@
 
 HzbFleet *hzb_fleet_new (HzbJobs *jobs, HzbMachines *machines, const HzbSettings *settings);
 void hzb_fleet_free (HzbFleet *fleet);
-/* A fleet that starts from nothing: machines for part of what the teams are guaranteed, before the first job
- * comes. They go back like any others if none does. */
-GArray *hzb_fleet_first_rentals (HzbFleet *fleet);
 GArray *hzb_fleet_rentals (HzbFleet *fleet, struct timespec now);     /* HzbRental */
 GPtrArray *hzb_fleet_returns (HzbFleet *fleet, struct timespec now);  /* HzbMachine, to be taken out of use */
 void hzb_fleet_refused (HzbFleet *fleet, const HzbRental *rental, struct timespec now);
