--- a/src/jobs.c
+++ b/src/jobs.c
@@ -310,10 +310,10 @@
 
 /* ---- run times ---- */
 
-/* One job's estimate is wrong in one way for all its tasks, so a job counts as one observation; and below a
- * quarter or so a leaning can't be told from chance. */
-#define LEANING_EASE 0.15
-#define LEANING_SURE 0.25
+/* One job's estimate is wrong in one way for all its tasks, so a job counts as one observation; and a smaller
+ * leaning can not be told from chance. */
+#define LEANING_EASE 0.08
+#define LEANING_SURE 0.35
 #define MOST_CLASSES 200u
 
 void
--- a/tests/test-jobs.c
+++ b/tests/test-jobs.c
@@ -168,7 +168,7 @@
   for (guint i = 0; i < 200; i++)
     hzb_jobs_observe (b.jobs, job, 20);
   g_assert_cmpfloat (hzb_jobs_mean_s (b.jobs, job), ==, 10); /* one job proves nothing */
-  for (guint i = 0; i < 200 * 40; i++)
+  for (guint i = 0; i < 200 * 80; i++)
     hzb_jobs_observe (b.jobs, job, 20);
   hzb_jobs_observe (b.jobs, job, -1); /* a clock's or a peer's nonsense */
   next = bench_job (&b, "red", HZB_URGENCY_NORMAL, 5, 1, 40);
