--- a/src/controller.c
+++ b/src/controller.c
@@ -1168,6 +1168,29 @@
   cJSON_Delete (root);
 }
 
+/* Guards against a leader that only the workers can't reach: they are sent back to it by all others, until every
+ * lease is over and all work is lost. That all machines should fall silent together for any other reason is rare,
+ * and then a change of leader costs little. */
+static gboolean
+hears_nobody (HzbController *c)
+{
+  struct timespec now = hzb_clock_now (c->clock);
+  double quiet = 1.25 * c->settings->report_s + 1.5;
+  guint n = 0;
+
+  for (guint i = 0; i < c->machines->all->len; i++)
+    {
+      const HzbMachine *m = c->machines->all->pdata[i];
+      if (!hzb_time_is_set (m->heard) || m->state == HZB_MACHINE_LENT || m->state == HZB_MACHINE_RETURNING
+          || m->state == HZB_MACHINE_SILENT)
+        continue;
+      if (hzb_time_between (m->heard, now) < quiet)
+        return FALSE;
+      n += m->confirmed;
+    }
+  return n >= 3;
+}
+
 /* In an outage of the state service for all, a holder goes on answering workers, so that their leases live.
  * One that is refused alone, or cut off from everything, gives way to those that are not. */
 static void
@@ -1175,6 +1198,12 @@
 {
   double silence = hzb_store_silence (c->store);
 
+  if (hzb_election_leading (c->election) && silence < 2.5 && any_peer_heard (c) && c->peers->len && hears_nobody (c))
+    {
+      hzb_election_step_down (c->election, "no worker is heard any more, while all else can be reached");
+      hzb_election_stand_back (c->election, 20);
+      return;
+    }
   if (!hzb_election_leading (c->election) || silence < 5)
     return;
   if (peer_is_served (c))
--- a/src/election.c
+++ b/src/election.c
@@ -16,7 +16,7 @@
   char *leader, *leader_incarnation; /* by the mirror */
   guint64 leader_lease, leader_term, leader_version;
   struct timespec next, asked, proven_until, renew_sent;
-  gboolean renewing;
+  gboolean renewing, stands_back;
 };
 
 static const char *const names[] = { "following", "ending-old", "leasing", "campaigning", "leading" };
@@ -160,6 +160,13 @@
     }
 }
 
+void
+hzb_election_stand_back (HzbElection *e, double seconds)
+{
+  e->next = hzb_time_plus (hzb_clock_now (e->clock), seconds);
+  e->stands_back = TRUE;
+}
+
 static void
 on_campaign (HzbStoreResult result, const char *body, gpointer user)
 {
@@ -250,7 +257,7 @@
           e->leader_lease = hzb_json_u64 (item->value, "lease");
           e->leader_term = hzb_json_u64 (item->value, "term");
         }
-      else
+      else if (!e->stands_back)
         e->next = hzb_time_plus (hzb_clock_now (e->clock), jitter (e));
       if (e->state == HZB_ELECTION_LEADING
           && (e->leader ? e->leader_term > e->term : e->leader_term == e->term))
@@ -278,6 +285,7 @@
     }
   if (e->state != HZB_ELECTION_FOLLOWING || !mirror_fresh || hzb_time_before (now, e->next))
     return;
+  e->stands_back = FALSE;
   if (e->leader && g_strcmp0 (e->leader, e->settings->node) == 0)
     {
       /* An earlier incarnation, or a campaign of ours whose answer was lost: it is ended, not trusted. */
--- a/tests/test-world.c
+++ b/tests/test-world.c
@@ -537,8 +537,17 @@
       World *w = world_new (seed);
       WorldMachine *m = run_until_lent (w);
       guint at = node_of_lessee (w, m);
+      HzbController *c = w->nodes[world_leader (w)].c;
+      guint64 token = hzb_machines_find (c->machines, m->name)->token, seen = m->token;
+      HzbMachine *known;
       w->nodes[at].cut_peers = TRUE;
-      world_run (w, w->now + 20);
+      world_run (w, w->now + 6);
+      known = hzb_machines_find (c->machines, m->name);
+      g_assert_nonnull (known);
+      /* Nothing that the old lessee sends is obeyed once the machine has heard the leader. */
+      g_assert_cmpint (known->state, !=, HZB_MACHINE_LENT);
+      g_assert_cmpuint (known->token, >, MAX (token, seen));
+      world_run (w, w->now + 14);
       w->nodes[at].cut_peers = FALSE;
       world_run (w, 600);
       expect_all_over (w, "lessee cut off", seed);
@@ -610,6 +619,27 @@
   return status;
 }
 
+/* The leader loses the workers, and nothing else: another leads before the workers' leases are over. */
+static void
+test_leader_loses_workers (void)
+{
+  World *w = world_new (51);
+  guint leader;
+  for (guint i = 0; i < 6; i++)
+    world_add_job (w, 1, i % 2 ? "red" : "blue", 6, 3, 80)->type = "small";
+  world_run (w, 25);
+  leader = (guint) world_leader (w);
+  w->nodes[leader].cut_workers = TRUE;
+  world_run (w, 40);
+  g_assert_cmpint (world_leader (w), !=, leader);
+  for (guint i = 0; i < w->machines->len; i++)
+    g_assert_cmpuint (((WorldMachine *) w->machines->pdata[i])->session, ==, 1);
+  w->nodes[leader].cut_workers = FALSE;
+  world_run (w, 500);
+  expect_all_over (w, "leader loses workers", 51);
+  world_free (w);
+}
+
 /* Operators: settings are checked, refused when another has changed them, and apply on all nodes; a machine is
  * drained, also by a later leader. */
 static void
@@ -704,6 +734,7 @@
   g_test_add_func ("/world/late-flush", test_late_flush);
   g_test_add_func ("/world/surprise-machine", test_surprise_machine);
   g_test_add_func ("/world/gang-loses-machine", test_gang_loses_machine);
+  g_test_add_func ("/world/leader-loses-workers", test_leader_loses_workers);
   g_test_add_func ("/world/administration", test_administration);
   g_test_add_func ("/world/lessee-ends", test_lessee_ends);
   g_test_add_func ("/world/lessee-cut-off", test_lessee_cut_off);
