--- a/src/admin.c
+++ b/src/admin.c
@@ -41,7 +41,7 @@
   { "dispatchSample", "machines looked at for one task when more is asked than can be done", 1, 1000, 8 },
   { "dispatchListAheadS", "seconds of work that a machine's list is filled ahead", 1, 3600, 8 },
   { "fleetIdleS", "seconds that a machine without work is kept", 0, 86400, 40 },
-  { "fleetHaste", "part of the time that aims leave in which waiting work should start", 0.05, 2, 0.6 },
+  { "fleetPatience", "part of the time that aims leave in which waiting work should start", 0.05, 2, 0.6 },
   { "leaseBlocks", "1: blocks are leased to the other controllers, 0: the leader keeps all", 0, 1, 1 },
 };
 
@@ -64,7 +64,7 @@
   c->dispatch->sample = (guint) v[1];
   c->dispatch->list_ahead_s = v[2];
   c->fleet->idle_s = v[3];
-  c->fleet->haste = v[4];
+  c->fleet->patience = v[4];
   c->lease_blocks = v[5] >= 0.5;
   if (value)
     g_message ("the operators' settings of revision %" G_GUINT64_FORMAT " apply", version);
@@ -74,7 +74,7 @@
 pack_settings (HzbController *c)
 {
   const double v[G_N_ELEMENTS (settings)] = { c->dispatch->h,      c->dispatch->sample, c->dispatch->list_ahead_s,
-                                              c->fleet->idle_s, c->fleet->haste,     c->lease_blocks };
+                                              c->fleet->idle_s, c->fleet->patience,     c->lease_blocks };
   cJSON *root = cJSON_CreateObject (), *list;
   hzb_json_add_u64 (root, "version", c->settings_version);
   list = cJSON_AddObjectToObject (root, "settings");
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -37,7 +37,7 @@
   f->machines = machines;
   f->settings = settings;
   f->idle_s = 40;
-  f->haste = 0.6;
+  f->patience = 0.6;
   f->refused = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return f;
 }
@@ -98,7 +98,7 @@
 start_within_s (HzbFleet *f, const HzbJob *job, struct timespec now)
 {
   double slack = hzb_job_slack_s (f->settings, job, now, NULL);
-  return CLAMP (f->haste * slack, 10, 150);
+  return CLAMP (f->patience * slack, 10, 150);
 }
 
 static char *
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -17,7 +17,7 @@
   const HzbSettings *settings;
   GHashTable *refused; /* "type zone kind" -> HzbRefusal */
   double idle_s;       /* a machine without work is kept this long */
-  double haste;        /* part of the time that aims leave in which waiting work should start */
+  double patience;        /* part of the time that aims leave in which waiting work should start */
   double usual;        /* units wanted, smoothed */
 } HzbFleet;
 
