--- a/tests/test-world.c
+++ b/tests/test-world.c
@@ -684,6 +684,15 @@
   world_free (w);
 }
 
+static void
+expect_broken (World *w, const char *rule, WorldJob *job, guint status, const char *state)
+{
+  world_told (w, job, status, state);
+  g_assert_cmpuint (w->broken->len, ==, 1);
+  g_assert_true (g_str_has_prefix (w->broken->pdata[0], rule));
+  g_ptr_array_set_size (w->broken, 0);
+}
+
 /* The checks themselves: each can fail. */
 static void
 test_checks_can_fail (void)
@@ -711,6 +720,26 @@
   job->cancelled_at = w->now - 31;
   world_check (w);
   g_assert_true (g_str_has_prefix (w->broken->pdata[0], "ran_cancelled"));
+  g_ptr_array_set_size (w->broken, 0);
+  g_ptr_array_set_size (a->tasks, 0);
+  expect_broken (w, "invented", world_add_job (w, 1e6, "red", 1, 1, 1), 200, "queued");
+  job = world_add_job (w, 1e6, "red", 2, 1, 1);
+  job->submitted = TRUE;
+  world_told (w, job, 201, "queued");
+  g_assert_cmpuint (w->broken->len, ==, 0);
+  expect_broken (w, "forgotten", job, 404, NULL);
+  expect_broken (w, "not_done", job, 200, "done");
+  expect_broken (w, "went_back", job, 200, "running"); /* it was called done */
+  job = world_add_job (w, 1e6, "red", 2, 1, 1);
+  job->submitted = TRUE;
+  expect_broken (w, "went_back", job, 200, "cancelled"); /* its user did not ask for that */
+  job = world_add_job (w, 1e6, "red", 2, 1, 1);
+  job->zone = "zb";
+  {
+    g_autofree char *piece = g_strdup_printf ("%s/0", job->uid);
+    world_start_task (w, a, piece, 9); /* a is in za */
+    g_assert_true (g_str_has_prefix (w->broken->pdata[0], "wrong_place"));
+  }
   world_free (w);
 }
 
--- a/tests/world.c
+++ b/tests/world.c
@@ -721,8 +721,8 @@
   return task;
 }
 
-static void
-start_task (World *w, WorldMachine *m, const char *piece, guint64 attempt)
+void
+world_start_task (World *w, WorldMachine *m, const char *piece, guint64 attempt)
 {
   const char *slash = strrchr (piece, '/');
   g_autofree char *uid = g_strndup (piece, (gsize) (slash - piece));
@@ -766,7 +766,7 @@
       guint64 attempt = hzb_json_u64 (order, "try");
       if (g_str_equal (verb, "run"))
         {
-          start_task (w, m, piece, attempt);
+          world_start_task (w, m, piece, attempt);
           continue;
         }
       for (guint i = 0; i < m->tasks->len; i++)
@@ -1010,15 +1010,9 @@
 
 static void user_step (World *w, gpointer data);
 
-static void
-user_reply (HzbExchange *exchange, guint status, const char *body, guint retry)
+void
+world_told (World *w, WorldJob *job, guint status, const char *state)
 {
-  gpointer *pair = exchange->impl;
-  World *w = pair[0];
-  UserCall *call = pair[1];
-  WorldJob *job = call->job;
-  cJSON *root = cJSON_Parse (body ? body : "");
-  const char *state = hzb_json_text (root, "status");
   gboolean all = TRUE;
   for (guint i = 0; i < job->n; i++)
     all = all && job->finished[i];
@@ -1026,6 +1020,8 @@
     {
       gboolean done = g_strcmp0 (state, "done") == 0, cancelled = g_strcmp0 (state, "cancelled") == 0;
       job->accepted = TRUE;
+      if (!job->submitted)
+        broken (w, "invented", "%s", job->uid);
       if (done && !all)
         broken (w, "not_done", "%s is called done", job->uid);
       if ((job->told_done && !done) || (job->told_cancelled && !cancelled) || (cancelled && !job->asked_cancel))
@@ -1037,6 +1033,15 @@
     }
   else if (job->accepted && (status == 404 || status == 400 || status == 422))
     broken (w, "forgotten", "%s got %u", job->uid, status);
+}
+
+static void
+user_reply (HzbExchange *exchange, guint status, const char *body, guint retry)
+{
+  gpointer *pair = exchange->impl;
+  UserCall *call = pair[1];
+  cJSON *root = cJSON_Parse (body ? body : "");
+  world_told (pair[0], call->job, status, hzb_json_text (root, "status"));
   cJSON_Delete (root);
   g_free (call);
   g_free (pair);
--- a/tests/world.h
+++ b/tests/world.h
@@ -89,6 +89,8 @@
 WorldJob *world_add_job (World *w, double at, const char *team, guint n, double cpus, double run_s);
 WorldMachine *world_add_machine (World *w, const char *type, const char *zone, gboolean spot, double up_after);
 WorldTask *world_put_task (World *w, WorldMachine *m, WorldJob *job, guint task, guint64 attempt);
+void world_start_task (World *w, WorldMachine *m, const char *piece, guint64 attempt); /* as an order does */
+void world_told (World *w, WorldJob *job, guint status, const char *state);            /* an answer to its user */
 void world_check (World *w);
 guint world_unfinished (World *w);
 int world_leader (World *w); /* -1: none */
