Keep many records in one value, and send what got 429 once more whole

Every machine and every job had a key of its own, each flush took the first 15 jobs with news in order of age, and those had news again at once, so the newest jobs' release marks and machines waited behind them without end: urgent jobs started after 41 s on the median although machines stood empty. 398 machines took 30 s to be recorded. Besides, a transaction answered 429 was sent again without its body and got 400, so its submissions were answered 503.

Now jobs and machines share pages of up to 12 KB, and the page that has waited longest goes first. Test: /world/few-changes (fails without either half).

--- a/src/admin.c
+++ b/src/admin.c
@@ -279,7 +279,7 @@
   /* It takes no new tasks and goes back once it is empty; on record, so that a new leader does the same. */
   m->wanted_back = m->drain = TRUE;
   m->recorded = m->recording = FALSE;
-  hzb_controller_flush_soon (c);
+  hzb_records_flush_soon (c->records);
   g_message ("machine %s: an operator wants it drained", m->name);
   root = cJSON_CreateObject ();
   cJSON_AddStringToObject (root, "name", m->name);
--- a/src/controller.c
+++ b/src/controller.c
@@ -163,17 +163,10 @@
 
 /* ---- holding the block ---- */
 
-typedef struct
+HzbHeld *
+hzb_held_new (HzbController *c, gpointer data)
 {
-  HzbController *c;
-  guint64 epoch;
-  gpointer data;
-} Held;
-
-static Held *
-held_new (HzbController *c, gpointer data)
-{
-  Held *held = g_new0 (Held, 1);
+  HzbHeld *held = g_new0 (HzbHeld, 1);
   held->c = c;
   held->epoch = c->hold_epoch;
   held->data = data;
@@ -200,50 +193,10 @@
   c->hold = to;
 }
 
-/* What a cancelled job's own record no longer says is beside its progress. */
-static HzbSpec *
-spec_of_remains (HzbController *c, const char *uid, const cJSON *value, guint n)
-{
-  HzbSpec *spec = g_new0 (HzbSpec, 1);
-  spec->uid = g_strdup (uid);
-  spec->lane = g_strdup ("");
-  spec->image = g_strdup ("");
-  spec->team = g_strdup (hzb_json_text (value, "team"));
-  spec->cpus = hzb_json_number (value, "cpus", 0);
-  spec->gpus = hzb_json_number (value, "gpus", 0);
-  spec->tasks = n;
-  spec->estimate_s = 1;
-  return spec;
-}
-
-static void
-take_progress (HzbController *c, const char *rest, const cJSON *value)
-{
-  const char *slash = strrchr (rest, '/');
-  g_autofree char *uid = slash ? g_strndup (rest, (gsize) (slash - rest)) : NULL;
-  HzbJob *job = uid ? hzb_jobs_find (c->jobs, uid) : NULL;
-
-  if (!job)
-    return;
-  if (job->state == HZB_JOB_DONE)
-    {
-      g_ptr_array_add (c->forget_keys, g_strconcat (HZB_KEY_PROGRESS, rest, NULL));
-      return;
-    }
-  if (job->state == HZB_JOB_CANCELLED && !job->spec && hzb_json_text (value, "team"))
-    {
-      job->spec = spec_of_remains (c, uid, value, job->n_tasks);
-      job->team = hzb_settings_team (c->settings, job->spec->team);
-    }
-  hzb_jobs_activate (c->jobs, job);
-  if (job->tasks)
-    hzb_job_read_progress (c->jobs, job, (guint) g_ascii_strtoull (slash + 1, NULL, 10), value);
-}
-
 static void
 on_hold_loaded (HzbStoreResult result, const char *body, gpointer user)
 {
-  g_autofree Held *held = user;
+  g_autofree HzbHeld *held = user;
   HzbController *c = held->c;
   gboolean more = FALSE;
   guint64 revision = 0;
@@ -255,35 +208,13 @@
   for (guint i = 0; items && i < items->len; i++)
     {
       HzbItem *item = &g_array_index (items, HzbItem, i);
-      if (g_str_equal (item->key, HZB_KEY_FLUSH))
-        {
-          c->flush_version = item->version;
-          c->flush_number = hzb_json_u64 (item->value, "n");
-        }
-      else if (g_str_has_prefix (item->key, HZB_KEY_MACHINES))
-        {
-          const char *name = item->key + strlen (HZB_KEY_MACHINES);
-          const char *type = hzb_json_text (item->value, "type"), *zone = hzb_json_text (item->value, "zone");
-          if (!hzb_machines_find (c->machines, name) && type && zone)
-            {
-              HzbMachine *m = hzb_machines_add (c->machines, name, hzb_json_text (item->value, "addr"), type, zone,
-                                                cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (item->value, "spot")),
-                                                HZB_MACHINE_UNHEARD);
-              double age = (double) hzb_clock_wall (c->clock).tv_sec - hzb_json_number (item->value, "at", INFINITY);
-              m->recorded = TRUE;
-              m->drain = m->wanted_back = cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (item->value, "drain"));
-              if (age > 1)
-                m->rented = hzb_time_plus (m->rented, -(age - 1)); /* times of day differ a little */
-            }
-        }
-      else if (g_str_has_prefix (item->key, HZB_KEY_PROGRESS))
-        take_progress (c, item->key + strlen (HZB_KEY_PROGRESS), item->value);
+      hzb_records_take (c->records, item);
       g_free (c->hold_after);
       c->hold_after = g_strdup (item->key);
     }
   if (!items || (more && items->len))
     {
-      hzb_store_range (c->store, HZB_KEY_HOLDER, c->hold_after, on_hold_loaded, held_new (c, NULL));
+      hzb_store_range (c->store, HZB_KEY_HOLDER, c->hold_after, on_hold_loaded, hzb_held_new (c, NULL));
       return;
     }
   c->hold_since = hzb_clock_now (c->clock);
@@ -298,19 +229,17 @@
   c->hold_epoch++;
   c->block = hzb_block_new (c->settings, hzb_token (hzb_election_term (c->election), 0));
   hzb_leases_reset (c->leases);
-  c->flush_version = c->flush_number = 0;
-  c->flushing = c->flush_unknown = FALSE;
+  hzb_records_reset (c->records);
   c->rent_number = 0;
   c->renting = c->returning = 0;
   c->listing = FALSE;
   g_clear_pointer (&c->list_after, g_free);
   c->next_list = c->next_return = (struct timespec){ 0 };
   g_clear_pointer (&c->hold_after, g_free);
-  g_ptr_array_set_size (c->forget_keys, 0);
   hzb_machines_clear (c->machines);
   hzb_jobs_hold (c->jobs, c->block);
   set_hold (c, HZB_HOLD_LOADING, "elected");
-  hzb_store_range (c->store, HZB_KEY_HOLDER, NULL, on_hold_loaded, held_new (c, NULL));
+  hzb_store_range (c->store, HZB_KEY_HOLDER, NULL, on_hold_loaded, hzb_held_new (c, NULL));
 }
 
 static void
@@ -318,6 +247,7 @@
 {
   c->hold_epoch++;
   set_hold (c, HZB_HOLD_NONE, "not the leader any more");
+  hzb_records_reset (c->records);
   hzb_jobs_let_go (c->jobs);
   hzb_machines_clear (c->machines);
   g_clear_pointer (&c->block, hzb_block_free);
@@ -349,257 +279,12 @@
   g_clear_pointer (&c->block, hzb_block_free);
 }
 
-/* ---- writing progress and machines ---- */
-
-typedef struct
-{
-  char *uid;
-  guint releasing;
-  GArray *finished; /* guint, task numbers */
-} FlushedJob;
-
-typedef struct
-{
-  guint64 number;
-  GPtrArray *jobs;     /* FlushedJob */
-  GPtrArray *machines; /* char*, names recorded */
-  GPtrArray *keys;     /* char*, removed */
-} Flush;
-
-static void
-flushed_job_free (gpointer data)
-{
-  FlushedJob *fj = data;
-  g_free (fj->uid);
-  g_array_unref (fj->finished);
-  g_free (fj);
-}
-
-static void
-flush_free (Flush *flush)
-{
-  g_ptr_array_unref (flush->jobs);
-  g_ptr_array_unref (flush->machines);
-  g_ptr_array_unref (flush->keys);
-  g_free (flush);
-}
-
-static void
-flush_applied (HzbController *c, Flush *flush)
-{
-  for (guint i = 0; i < flush->jobs->len; i++)
-    {
-      FlushedJob *fj = flush->jobs->pdata[i];
-      HzbJob *job = hzb_jobs_find (c->jobs, fj->uid);
-      if (!job || !job->tasks)
-        continue;
-      job->released = MAX (job->released, fj->releasing);
-      for (guint k = 0; k < fj->finished->len; k++)
-        {
-          HzbTask *task = &job->tasks[g_array_index (fj->finished, guint, k)];
-          if (task->state == HZB_TASK_FINISHED)
-            {
-              hzb_task_set_state (c->jobs, task, HZB_TASK_DONE, NULL);
-              hzb_leases_durable (c->leases, task);
-            }
-        }
-    }
-  for (guint i = 0; i < flush->machines->len; i++)
-    {
-      HzbMachine *m = hzb_machines_find (c->machines, flush->machines->pdata[i]);
-      if (m)
-        m->recorded = TRUE;
-    }
-}
-
-/* Not applied, or it will never be: all of it is written again. */
-static void
-flush_failed (HzbController *c, Flush *flush)
-{
-  for (guint i = 0; i < flush->jobs->len; i++)
-    {
-      HzbJob *job = hzb_jobs_find (c->jobs, ((FlushedJob *) flush->jobs->pdata[i])->uid);
-      if (job)
-        job->dirty = TRUE;
-    }
-  for (guint i = 0; i < flush->machines->len; i++)
-    {
-      HzbMachine *m = hzb_machines_find (c->machines, flush->machines->pdata[i]);
-      if (m)
-        m->recording = FALSE;
-    }
-  for (guint i = 0; i < flush->keys->len; i++)
-    g_ptr_array_add (c->forget_keys, g_strdup (flush->keys->pdata[i]));
-}
-
-/* What became of a flush without an answer: its number is in the flush record, or not. */
-static void
-on_flush_read (HzbStoreResult result, const char *body, gpointer user)
-{
-  Held *held = user;
-  HzbController *c = held->c;
-  Flush *flush = held->data;
-  HzbItem item = { 0 };
-
-  if (held->epoch != c->hold_epoch)
-    {
-      flush_free (flush);
-      g_free (held);
-      return;
-    }
-  if (result == HZB_STORE_ABSENT || (result == HZB_STORE_OK && hzb_wire_parse_item (body, &item)))
-    {
-      c->flush_version = item.version;
-      if (item.value && hzb_json_u64 (item.value, "n") == flush->number)
-        flush_applied (c, flush);
-      else
-        flush_failed (c, flush);
-      hzb_item_clear (&item);
-      flush_free (flush);
-      c->flushing = FALSE;
-      g_free (held);
-      return;
-    }
-  hzb_store_get (c->store, HZB_STORE_RECORD, HZB_KEY_FLUSH, on_flush_read, held);
-}
-
-static void
-on_flushed (HzbStoreResult result, const char *body, gpointer user)
-{
-  Held *held = user;
-  HzbController *c = held->c;
-  Flush *flush = held->data;
-
-  if (held->epoch != c->hold_epoch)
-    {
-      flush_free (flush);
-      g_free (held);
-      return;
-    }
-  if (result == HZB_STORE_UNKNOWN || result == HZB_STORE_CONFLICT)
-    {
-      hzb_store_get (c->store, HZB_STORE_RECORD, HZB_KEY_FLUSH, on_flush_read, held);
-      return;
-    }
-  if (result == HZB_STORE_OK)
-    {
-      hzb_wire_parse_txn (body, &c->flush_version, NULL);
-      flush_applied (c, flush);
-    }
-  else
-    flush_failed (c, flush);
-  flush_free (flush);
-  g_free (held);
-  c->flushing = FALSE;
-}
-
-static gboolean
-wants_release (const HzbJob *job)
-{
-  return job->releasing < job->n_tasks && job->cursor + HZB_RELEASE_STEP / 4 >= job->releasing;
-}
-
-/* One transaction at a time. Each raises the flush record, so one that comes late fails: without that an
- * older set of results could overwrite a newer one under the same term. */
-static void
-flush (HzbController *c)
-{
-  Flush *out;
-  cJSON *txn, *value;
-  guint room = c->settings->store_txn_ops - 1;
-  gsize bytes = 0;
-  gboolean any = FALSE;
-
-  if (c->flushing || c->hold < HZB_HOLD_RECOVERING || !hzb_election_leading (c->election))
-    return;
-  for (guint i = 0; i < c->jobs->active->len && !any; i++)
-    {
-      HzbJob *job = c->jobs->active->pdata[i];
-      any = job->dirty || (job->state == HZB_JOB_ACCEPTED && wants_release (job));
-    }
-  for (guint i = 0; i < c->machines->all->len && !any; i++)
-    {
-      const HzbMachine *m = c->machines->all->pdata[i];
-      any = !m->recorded && !m->recording && m->session;
-    }
-  if (!any && !c->forget_keys->len)
-    return;
-  out = g_new0 (Flush, 1);
-  out->jobs = g_ptr_array_new_with_free_func (flushed_job_free);
-  out->machines = g_ptr_array_new_with_free_func (g_free);
-  out->keys = g_ptr_array_new_with_free_func (g_free);
-  out->number = ++c->flush_number;
-  txn = hzb_wire_txn ();
-  hzb_election_guard (c->election, txn);
-  hzb_wire_txn_if (txn, HZB_KEY_FLUSH, c->flush_version);
-  value = cJSON_CreateObject ();
-  hzb_json_add_u64 (value, "n", out->number);
-  hzb_wire_txn_put (txn, HZB_KEY_FLUSH, value, 0);
-  for (guint i = 0; i < c->machines->all->len && room; i++)
-    {
-      HzbMachine *m = c->machines->all->pdata[i];
-      g_autofree char *key = g_strconcat (HZB_KEY_MACHINES, m->name, NULL);
-      if (m->recorded || m->recording || !m->session)
-        continue;
-      m->recording = TRUE;
-      hzb_wire_txn_put (txn, key, hzb_machine_pack (m, hzb_clock_wall (c->clock)), 0);
-      g_ptr_array_add (out->machines, g_strdup (m->name));
-      room--;
-    }
-  for (guint i = 0; i < c->jobs->active->len && room; i++)
-    {
-      HzbJob *job = c->jobs->active->pdata[i];
-      FlushedJob *fj;
-      gboolean release = job->state == HZB_JOB_ACCEPTED && wants_release (job);
-      guint chunks = hzb_job_chunks (job);
-      if ((!job->dirty && !release) || job->ending || chunks > room || bytes + chunks * 6000 > 50000)
-        continue;
-      if (release)
-        job->releasing = MIN (job->n_tasks, job->releasing + HZB_RELEASE_STEP);
-      fj = g_new0 (FlushedJob, 1);
-      fj->uid = g_strdup (job->uid);
-      fj->releasing = job->releasing;
-      fj->finished = g_array_new (FALSE, FALSE, sizeof (guint));
-      for (guint k = 0; k < job->n_tasks && job->finished; k++)
-        if (job->tasks[k].state == HZB_TASK_FINISHED)
-          g_array_append_val (fj->finished, k);
-      for (guint k = 0; k < chunks; k++)
-        {
-          g_autofree char *key = g_strdup_printf ("%s%s/%u", HZB_KEY_PROGRESS, job->uid, k);
-          hzb_wire_txn_put (txn, key, hzb_job_pack_progress (job, k), 0);
-        }
-      job->dirty = FALSE;
-      job->has_progress = TRUE;
-      room -= chunks;
-      bytes += chunks * (job->n_tasks > 2048 ? 6000 : 700);
-      g_ptr_array_add (out->jobs, fj);
-    }
-  while (c->forget_keys->len && room)
-    {
-      char *key = g_ptr_array_steal_index_fast (c->forget_keys, c->forget_keys->len - 1);
-      hzb_wire_txn_delete (txn, key);
-      g_ptr_array_add (out->keys, key);
-      room--;
-    }
-  c->flushing = TRUE;
-  hzb_store_txn (c->store, HZB_STORE_RECORD, txn, on_flushed, held_new (c, out));
-}
-
-void
-hzb_controller_flush_soon (HzbController *c)
-{
-  struct timespec now = hzb_clock_now (c->clock);
-  if (!hzb_time_before (now, c->next_flush))
-    {
-      c->next_flush = hzb_time_plus (now, 0.25);
-      flush (c);
-    }
-}
+/* ---- the end of a job ---- */
 
 static void
 on_ended (HzbStoreResult result, const char *body, gpointer user)
 {
-  Held *held = user;
+  HzbHeld *held = user;
   HzbController *c = held->c;
   g_autofree char *uid = held->data;
   HzbJob *job = hzb_jobs_find (c->jobs, uid);
@@ -618,6 +303,7 @@
       if (result == HZB_STORE_OK && job->tasks)
         {
           g_message ("job %s is done", uid);
+          hzb_records_drop_job (c->records, job);
           hzb_jobs_retire (c->jobs, job);
         }
     }
@@ -638,12 +324,7 @@
   hzb_election_guard (c->election, txn);
   hzb_wire_txn_if (txn, key, job->version);
   hzb_wire_txn_put (txn, key, hzb_jobs_pack_final (HZB_JOB_DONE, job->n_tasks), 0);
-  for (guint k = 0; k < hzb_job_chunks (job); k++)
-    {
-      g_autofree char *chunk = g_strdup_printf ("%s%s/%u", HZB_KEY_PROGRESS, job->uid, k);
-      hzb_wire_txn_delete (txn, chunk);
-    }
-  hzb_store_txn (c->store, HZB_STORE_ACCEPT, txn, on_ended, held_new (c, g_strdup (job->uid)));
+  hzb_store_txn (c->store, HZB_STORE_ACCEPT, txn, on_ended, hzb_held_new (c, g_strdup (job->uid)));
 }
 
 /* ---- the cloud ---- */
@@ -663,7 +344,7 @@
 
 typedef struct
 {
-  Held held;
+  HzbHeld held;
   char *request, *type, *zone;
   gboolean spot;
   guint count, tries;
@@ -740,8 +421,7 @@
 static void
 machine_is_gone (HzbController *c, HzbMachine *m)
 {
-  if (m->recorded || m->recording)
-    g_ptr_array_add (c->forget_keys, g_strconcat (HZB_KEY_MACHINES, m->name, NULL));
+  hzb_records_drop_machine (c->records, m);
   hzb_machine_lose_tasks (c->jobs, m);
   hzb_machine_set_state (c->machines, m, HZB_MACHINE_GONE, "the cloud has confirmed it");
   if (g_hash_table_size (c->gone) > 2000)
@@ -753,7 +433,7 @@
 static void
 on_returned (guint status, const char *body, gsize length, gpointer user)
 {
-  Held *held = user;
+  HzbHeld *held = user;
   HzbController *c = held->c;
   g_autoptr (GPtrArray) names = held->data;
 
@@ -812,7 +492,7 @@
       return;
     }
   c->returning++;
-  hzb_cloud_return (c->cloud, names, on_returned, held_new (c, names));
+  hzb_cloud_return (c->cloud, names, on_returned, hzb_held_new (c, names));
 }
 
 /* Once listed, a machine stays listed until it is gone, and a list is at most twice the lag old: what has been
@@ -839,7 +519,7 @@
 static void
 on_listed (guint status, const char *body, gsize length, gpointer user)
 {
-  g_autofree Held *held = user;
+  g_autofree HzbHeld *held = user;
   HzbController *c = held->c;
   gboolean more = FALSE;
   g_autoptr (GPtrArray) listed = status == 200 ? hzb_wire_parse_list (body, &more) : NULL;
@@ -948,8 +628,7 @@
           hzb_task_set_state (c->jobs, &job->tasks[k], HZB_TASK_PENDING, NULL);
       if (!job->placed && !job->unknown && !job->ending)
         {
-          for (guint k = 0; k < hzb_job_chunks (job) && job->has_progress; k++)
-            g_ptr_array_add (c->forget_keys, g_strdup_printf ("%s%s/%u", HZB_KEY_PROGRESS, job->uid, k));
+          hzb_records_drop_job (c->records, job);
           hzb_jobs_retire (c->jobs, job);
           i--;
         }
@@ -1041,9 +720,9 @@
       if (!c->list_after)
         c->list_began = now;
       c->next_list = hzb_time_plus (now, 10);
-      hzb_cloud_list (c->cloud, c->list_after, on_listed, held_new (c, NULL));
+      hzb_cloud_list (c->cloud, c->list_after, on_listed, hzb_held_new (c, NULL));
     }
-  hzb_controller_flush_soon (c);
+  hzb_records_flush_soon (c->records);
 }
 
 /* ---- peers ---- */
@@ -1334,7 +1013,7 @@
   c->display = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   c->listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   c->gone = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  c->forget_keys = g_ptr_array_new_with_free_func (g_free);
+  c->records = hzb_records_new (c);
   c->peers = g_array_new (FALSE, TRUE, sizeof (HzbPeerView));
   for (guint i = 0; i < settings->peers->len; i++)
     {
@@ -1349,6 +1028,7 @@
 {
   hzb_api_free (c->api);
   hzb_leases_free (c->leases);
+  hzb_records_free (c->records);
   hzb_metrics_free (c->metrics);
   g_free (c->incarnation);
   hzb_jobs_let_go (c->jobs);
@@ -1364,7 +1044,6 @@
   g_hash_table_unref (c->display);
   g_hash_table_unref (c->gone);
   g_hash_table_unref (c->listed);
-  g_ptr_array_unref (c->forget_keys);
   g_array_unref (c->peers);
   g_free (c->load_after);
   g_free (c->hold_after);
--- a/src/controller.h
+++ b/src/controller.h
@@ -45,6 +45,7 @@
 
 typedef struct _HzbApi HzbApi;
 typedef struct _HzbLeases HzbLeases;
+typedef struct _HzbRecords HzbRecords;
 
 typedef struct
 {
@@ -62,6 +63,7 @@
   HzbBlock *block;
   HzbApi *api;
   HzbLeases *leases;
+  HzbRecords *records;
   HzbMetrics *metrics;
   guint64 settings_version; /* of the operators' settings */
   gboolean lease_blocks;
@@ -79,8 +81,6 @@
   HzbHoldState hold;
   guint64 hold_epoch; /* told apart: answers to an earlier holding are dropped */
   char *hold_after;
-  guint64 flush_version, flush_number;
-  gboolean flushing, flush_unknown;
   gboolean asking_types, listing;
   guint renting, returning;
   guint64 rent_number;
@@ -88,9 +88,8 @@
   GHashTable *gone;   /* names given back: lists lag */
   GHashTable *listed; /* names in the pages read so far */
   struct timespec list_began;
-  GPtrArray *forget_keys; /* records of machines that are gone */
   struct timespec last_tick; /* the timer's */
-  struct timespec hold_since, next_list, next_types, next_plan, next_peers, next_return, next_flush, next_dispatch, next_summary;
+  struct timespec hold_since, next_list, next_types, next_plan, next_peers, next_return, next_dispatch, next_summary;
 } HzbController;
 
 HzbController *hzb_controller_new (HzbSettings *settings, HzbClock *clock, HzbTransport *transport, guint32 seed);
@@ -100,9 +99,27 @@
 void hzb_controller_peer_request (HzbExchange *exchange, gpointer controller); /* other controllers */
 gboolean hzb_controller_ready (HzbController *c);
 void hzb_controller_take_item (HzbController *c, const HzbItem *item);
-void hzb_controller_flush_soon (HzbController *c);
 void hzb_controller_end_job (HzbController *c, HzbJob *job); /* all its tasks have finished */
 
+/* What an answer belongs to: of an earlier holding it is dropped. */
+typedef struct
+{
+  HzbController *c;
+  guint64 epoch;
+  gpointer data;
+} HzbHeld;
+
+HzbHeld *hzb_held_new (HzbController *c, gpointer data);
+
+/* records.c: the holder's records of progress and machines */
+HzbRecords *hzb_records_new (HzbController *c);
+void hzb_records_free (HzbRecords *records);
+void hzb_records_reset (HzbRecords *records);                    /* a holding begins or ends */
+void hzb_records_take (HzbRecords *records, const HzbItem *item); /* as the state service has it */
+void hzb_records_flush_soon (HzbRecords *records);
+void hzb_records_drop_job (HzbRecords *records, HzbJob *job);
+void hzb_records_drop_machine (HzbRecords *records, HzbMachine *machine);
+
 /* gateway.c */
 void hzb_gateway_report (HzbController *c, HzbExchange *exchange);
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -84,7 +84,7 @@
           else if (job->finished + job->done == job->n_tasks)
             hzb_controller_end_job (c, job);
           else
-            hzb_controller_flush_soon (c);
+            hzb_records_flush_soon (c->records);
         }
       /* Otherwise it is kept there until it is durable, or until the other attempt is over. */
       return;
@@ -296,7 +296,7 @@
           m->seq = report->seq;
         }
       if (!m->recorded)
-        hzb_controller_flush_soon (c);
+        hzb_records_flush_soon (c->records);
       hzb_exchange_reply (exchange, 421, hzb_wire_redirect (lessee), 0);
       return NULL;
     }
@@ -343,7 +343,7 @@
   m->seq = report->seq;
   m->heard = m->answered = now;
   if (!m->recorded)
-    hzb_controller_flush_soon (c);
+    hzb_records_flush_soon (c->records);
   /* A machine that nobody has ever recorded, and that has seen no token, holds nothing and obeys nobody yet: its
    * report is as good as one under ours. (After a takeover every recorded machine is unheard, not booting.) */
   if (report->token == m->token || (report->token == 0 && m->state == HZB_MACHINE_BOOTING && !report->pieces->len))
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -16,7 +16,7 @@
   job->elsewhere = job->lent_running = 0;
   job->cursor = job->pending = job->listed = job->unknown = job->placed = job->running = 0;
   job->finished = job->done = job->released = job->releasing = 0;
-  job->dirty = job->ending = job->has_progress = job->told_lessees = FALSE;
+  job->dirty = job->ending = job->on_pages = job->told_lessees = FALSE;
   job->failures = 0;
 }
 
@@ -270,20 +270,18 @@
   g_autofree guchar *bits = text && *text ? g_base64_decode (text, &length) : NULL;
   guint released = MIN ((guint) hzb_json_number (value, "released", 0), job->n_tasks);
 
-  job->has_progress = TRUE;
   for (guint i = first; i < MIN (first + HZB_CHUNK, job->n_tasks); i++)
     {
       guint k = i - first;
       HzbTask *task = &job->tasks[i];
-      if (k / 8 < length && bits[k / 8] & (1u << (k % 8)))
-        {
-          if (task->state == HZB_TASK_PENDING || task->state == HZB_TASK_UNKNOWN)
-            hzb_task_set_state (jobs, task, HZB_TASK_DONE, NULL);
-        }
-      else if (i < released && task->state == HZB_TASK_PENDING)
-        hzb_task_set_state (jobs, task, HZB_TASK_UNKNOWN, NULL);
+      if (k / 8 < length && bits[k / 8] & (1u << (k % 8)) && (task->state == HZB_TASK_PENDING || task->state == HZB_TASK_UNKNOWN))
+        hzb_task_set_state (jobs, task, HZB_TASK_DONE, NULL);
     }
+  /* Any part may be the newest, so its mark holds for the tasks of all parts. */
   job->released = job->releasing = MAX (job->released, released);
+  for (guint i = 0; i < job->released; i++)
+    if (job->tasks[i].state == HZB_TASK_PENDING)
+      hzb_task_set_state (jobs, &job->tasks[i], HZB_TASK_UNKNOWN, NULL);
   job->cursor = MAX (job->cursor, job->released);
 }
 
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -72,7 +72,7 @@
   guint listed, unknown, placed, running, finished, done;
   guint released, releasing; /* tasks below may have been started: durable, and asked for */
   gboolean dirty, ending;    /* progress to be written; end being written */
-  gboolean has_progress;     /* a progress record may exist */
+  gboolean on_pages;         /* of the holder's records */
   gboolean guaranteed, told_lessees;
   guint8 class; /* of waiting work, see hzb_dispatch_classes() */
   guint64 next_attempt;
--- a/src/lease.c
+++ b/src/lease.c
@@ -452,7 +452,7 @@
   if (task->job->finished + task->job->done == task->job->n_tasks)
     hzb_controller_end_job (c, task->job);
   else
-    hzb_controller_flush_soon (c);
+    hzb_records_flush_soon (c->records);
 }
 
 static void
--- a/src/machines.h
+++ b/src/machines.h
@@ -37,6 +37,7 @@
   struct timespec since, answered, heard, idle_since, notice_at;
   gboolean confirmed; /* a report sent under our token has come */
   gboolean recorded, recording;
+  guint page; /* of the holder's records; 0: none */
   gboolean wanted_back, drain; /* drain: by an operator */
   gboolean spare; /* takes no new tasks: there are more machines than work */
   guint surplus;  /* for how many plans in a row it has been one too many */
--- /dev/null
+++ b/src/records.c
@@ -0,0 +1,587 @@
+/* What the holder keeps in the state service for the next one: how far jobs have come, and which machines there are.
+ *
+ * Changes are the scarcest thing in the state service, and hundreds of jobs and machines change at once, so many of
+ * them share one value: a page. A job or machine stays on the page it was first put on until it is gone, and a page is
+ * written anew as a whole.
+ *
+ * One transaction at a time. Each raises the flush record and is conditional on the version that the one before gave
+ * it, so one that comes late fails: without that an older set of results could overwrite a newer one of the same term. */
+#include "controller.h"
+
+#include <string.h>
+
+#define FLUSH_EVERY_S 0.25 /* at the most; what nothing waits for is written more seldom: */
+#define PROGRESS_EVERY_S 1.0
+#define CLEAN_EVERY_S 3.0
+#define PAGE_BYTES 12000u /* and less where values have to be smaller */
+#define TXN_BYTES 52000u
+
+/* A job's part on a page: HZB_CHUNK of its tasks, all of them for most jobs. */
+typedef struct
+{
+  HzbJob *job;
+  guint chunk;
+  gsize bytes;
+} Part;
+
+typedef struct
+{
+  guint number;
+  gboolean of_machines;
+  GArray *parts;       /* Part, of a page of progress */
+  GPtrArray *machines; /* HzbMachine, of a page of machines */
+  gsize bytes;         /* about what the value takes */
+  gboolean exists;
+  gboolean dirty; /* a job on it has news */
+  gboolean stale; /* it still names what is gone */
+  struct timespec written;
+} Page;
+
+struct _HzbRecords
+{
+  HzbController *c;
+  GPtrArray *pages; /* Page */
+  guint numbers;    /* used so far */
+  guint64 version, flushes; /* of the flush record */
+  gboolean flushing;
+  struct timespec next;
+};
+
+static void
+page_free (gpointer data)
+{
+  Page *page = data;
+  g_array_unref (page->parts);
+  g_ptr_array_unref (page->machines);
+  g_free (page);
+}
+
+static Page *
+page_new (HzbRecords *r, guint number, gboolean of_machines)
+{
+  Page *page = g_new0 (Page, 1);
+  page->number = number;
+  page->of_machines = of_machines;
+  page->parts = g_array_new (FALSE, FALSE, sizeof (Part));
+  page->machines = g_ptr_array_new ();
+  r->numbers = MAX (r->numbers, number);
+  g_ptr_array_add (r->pages, page);
+  return page;
+}
+
+static Page *
+find_page (HzbRecords *r, guint number, gboolean of_machines)
+{
+  for (guint i = 0; number && i < r->pages->len; i++)
+    {
+      Page *page = r->pages->pdata[i];
+      if (page->number == number && page->of_machines == of_machines)
+        return page;
+    }
+  return NULL;
+}
+
+static char *
+page_key (const Page *page)
+{
+  return g_strdup_printf ("%s%06u", page->of_machines ? HZB_KEY_MACHINES : HZB_KEY_PROGRESS, page->number);
+}
+
+static Page *
+page_with_room (HzbRecords *r, gboolean of_machines, gsize bytes)
+{
+  gsize most = MIN (PAGE_BYTES, (gsize) (r->c->settings->store_value_kb * 1024 * 0.75));
+  for (guint i = 0; i < r->pages->len; i++)
+    {
+      Page *page = r->pages->pdata[i];
+      if (page->of_machines == of_machines && page->bytes + bytes <= most)
+        return page;
+    }
+  return page_new (r, r->numbers + 1, of_machines);
+}
+
+HzbRecords *
+hzb_records_new (HzbController *c)
+{
+  HzbRecords *r = g_new0 (HzbRecords, 1);
+  r->c = c;
+  r->pages = g_ptr_array_new_with_free_func (page_free);
+  return r;
+}
+
+void
+hzb_records_free (HzbRecords *r)
+{
+  g_ptr_array_unref (r->pages);
+  g_free (r);
+}
+
+void
+hzb_records_reset (HzbRecords *r)
+{
+  g_ptr_array_set_size (r->pages, 0);
+  r->numbers = 0;
+  r->version = r->flushes = 0;
+  r->flushing = FALSE;
+}
+
+/* ---- what is on pages ---- */
+
+static void
+add_part (Page *page, HzbJob *job, guint chunk)
+{
+  guint tasks = MIN (HZB_CHUNK, job->n_tasks - chunk * HZB_CHUNK);
+  Part part = { job, chunk, 120 + strlen (job->uid) + strlen (job->spec->team) + tasks / 6 };
+  g_array_append_val (page->parts, part);
+  page->bytes += part.bytes;
+}
+
+static gsize
+machine_bytes (const HzbMachine *m)
+{
+  return 90 + strlen (m->name) + (m->addr ? strlen (m->addr) : 0) + strlen (m->type_name) + strlen (m->zone);
+}
+
+static void
+add_machine (Page *page, HzbMachine *m)
+{
+  g_ptr_array_add (page->machines, m);
+  page->bytes += machine_bytes (m);
+  m->page = page->number;
+}
+
+static void
+put_on_pages (HzbRecords *r, HzbJob *job)
+{
+  if (job->on_pages)
+    return;
+  for (guint k = 0; k < hzb_job_chunks (job); k++)
+    {
+      guint tasks = MIN (HZB_CHUNK, job->n_tasks - k * HZB_CHUNK);
+      add_part (page_with_room (r, FALSE, 200 + tasks / 6), job, k);
+    }
+  job->on_pages = TRUE;
+}
+
+void
+hzb_records_drop_job (HzbRecords *r, HzbJob *job)
+{
+  for (guint i = 0; job->on_pages && i < r->pages->len; i++)
+    {
+      Page *page = r->pages->pdata[i];
+      for (guint k = page->parts->len; k-- > 0;)
+        if (g_array_index (page->parts, Part, k).job == job)
+          {
+            page->bytes -= g_array_index (page->parts, Part, k).bytes;
+            page->stale = TRUE;
+            g_array_remove_index_fast (page->parts, k);
+          }
+    }
+  job->on_pages = FALSE;
+}
+
+void
+hzb_records_drop_machine (HzbRecords *r, HzbMachine *m)
+{
+  Page *page = find_page (r, m->page, TRUE);
+  m->page = 0;
+  if (!page || !g_ptr_array_remove_fast (page->machines, m))
+    return;
+  page->bytes -= machine_bytes (m);
+  page->stale = TRUE;
+}
+
+/* ---- reading ---- */
+
+/* What a cancelled job's own record no longer says is beside its progress. */
+static HzbSpec *
+spec_of_remains (const char *uid, const cJSON *value, guint n)
+{
+  HzbSpec *spec = g_new0 (HzbSpec, 1);
+  spec->uid = g_strdup (uid);
+  spec->lane = g_strdup ("");
+  spec->image = g_strdup ("");
+  spec->team = g_strdup (hzb_json_text (value, "team"));
+  spec->cpus = hzb_json_number (value, "cpus", 0);
+  spec->gpus = hzb_json_number (value, "gpus", 0);
+  spec->tasks = n;
+  spec->estimate_s = 1;
+  return spec;
+}
+
+static void
+take_progress (HzbRecords *r, Page *page, const cJSON *value)
+{
+  HzbController *c = r->c;
+  const char *slash = strrchr (value->string, '/');
+  g_autofree char *uid = slash ? g_strndup (value->string, (gsize) (slash - value->string)) : NULL;
+  HzbJob *job = uid ? hzb_jobs_find (c->jobs, uid) : NULL;
+  guint chunk = slash ? (guint) g_ascii_strtoull (slash + 1, NULL, 10) : 0;
+
+  if (!job || job->state == HZB_JOB_DONE || chunk >= hzb_job_chunks (job))
+    {
+      page->stale = TRUE;
+      return;
+    }
+  if (job->state == HZB_JOB_CANCELLED && !job->spec && hzb_json_text (value, "team"))
+    {
+      job->spec = spec_of_remains (uid, value, job->n_tasks);
+      job->team = hzb_settings_team (c->settings, job->spec->team);
+    }
+  hzb_jobs_activate (c->jobs, job);
+  if (!job->tasks)
+    return;
+  hzb_job_read_progress (c->jobs, job, chunk, value);
+  add_part (page, job, chunk);
+  job->on_pages = TRUE;
+}
+
+static void
+take_machine (HzbRecords *r, Page *page, const cJSON *value)
+{
+  HzbController *c = r->c;
+  const char *type = hzb_json_text (value, "type"), *zone = hzb_json_text (value, "zone");
+  double age = (double) hzb_clock_wall (c->clock).tv_sec - hzb_json_number (value, "at", 1e15);
+  HzbMachine *m;
+
+  if (hzb_machines_find (c->machines, value->string) || !type || !zone)
+    return;
+  m = hzb_machines_add (c->machines, value->string, hzb_json_text (value, "addr"), type, zone,
+                        cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (value, "spot")), HZB_MACHINE_UNHEARD);
+  m->recorded = TRUE;
+  m->drain = m->wanted_back = cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (value, "drain"));
+  if (age > 1)
+    m->rented = hzb_time_plus (m->rented, -(age - 1)); /* times of day differ a little */
+  add_machine (page, m);
+}
+
+void
+hzb_records_take (HzbRecords *r, const HzbItem *item)
+{
+  gboolean of_machines = g_str_has_prefix (item->key, HZB_KEY_MACHINES);
+  const cJSON *entry;
+  Page *page;
+
+  if (g_str_equal (item->key, HZB_KEY_FLUSH))
+    {
+      r->version = item->version;
+      r->flushes = hzb_json_u64 (item->value, "n");
+      return;
+    }
+  if (!of_machines && !g_str_has_prefix (item->key, HZB_KEY_PROGRESS))
+    return;
+  page = page_new (r, (guint) g_ascii_strtoull (strrchr (item->key, '/') + 1, NULL, 10), of_machines);
+  page->exists = TRUE;
+  cJSON_ArrayForEach (entry, item->value)
+    if (of_machines)
+      take_machine (r, page, entry);
+    else
+      take_progress (r, page, entry);
+}
+
+/* ---- writing ---- */
+
+typedef struct
+{
+  char *uid;
+  guint releasing;
+  GArray *finished; /* guint, task numbers */
+} FlushedPart;
+
+typedef struct
+{
+  guint64 number;
+  GPtrArray *parts;    /* FlushedPart */
+  GPtrArray *machines; /* char*, names recorded */
+} Flush;
+
+static void
+flushed_part_free (gpointer data)
+{
+  FlushedPart *part = data;
+  g_free (part->uid);
+  g_array_unref (part->finished);
+  g_free (part);
+}
+
+static void
+flush_free (Flush *flush)
+{
+  g_ptr_array_unref (flush->parts);
+  g_ptr_array_unref (flush->machines);
+  g_free (flush);
+}
+
+static void
+flush_applied (HzbRecords *r, Flush *flush)
+{
+  HzbController *c = r->c;
+  for (guint i = 0; i < flush->parts->len; i++)
+    {
+      FlushedPart *part = flush->parts->pdata[i];
+      HzbJob *job = hzb_jobs_find (c->jobs, part->uid);
+      if (!job || !job->tasks)
+        continue;
+      job->released = MAX (job->released, part->releasing);
+      for (guint k = 0; k < part->finished->len; k++)
+        {
+          HzbTask *task = &job->tasks[g_array_index (part->finished, guint, k)];
+          if (task->state == HZB_TASK_FINISHED)
+            {
+              hzb_task_set_state (c->jobs, task, HZB_TASK_DONE, NULL);
+              hzb_leases_durable (c->leases, task);
+            }
+        }
+    }
+  for (guint i = 0; i < flush->machines->len; i++)
+    {
+      HzbMachine *m = hzb_machines_find (c->machines, flush->machines->pdata[i]);
+      if (m)
+        m->recorded = TRUE;
+    }
+}
+
+/* Not applied, or it will never be: all of it is written again. */
+static void
+flush_failed (HzbRecords *r, Flush *flush)
+{
+  HzbController *c = r->c;
+  for (guint i = 0; i < flush->parts->len; i++)
+    {
+      HzbJob *job = hzb_jobs_find (c->jobs, ((FlushedPart *) flush->parts->pdata[i])->uid);
+      if (job)
+        job->dirty = TRUE;
+    }
+  for (guint i = 0; i < flush->machines->len; i++)
+    {
+      HzbMachine *m = hzb_machines_find (c->machines, flush->machines->pdata[i]);
+      if (m)
+        m->recording = FALSE;
+    }
+  for (guint i = 0; i < r->pages->len; i++)
+    ((Page *) r->pages->pdata[i])->stale = TRUE;
+}
+
+/* What became of a flush without an answer: its number is in the flush record, or not. */
+static void
+on_flush_read (HzbStoreResult result, const char *body, gpointer user)
+{
+  HzbHeld *held = user;
+  HzbRecords *r = held->c->records;
+  Flush *flush = held->data;
+  HzbItem item = { 0 };
+
+  if (held->epoch != held->c->hold_epoch)
+    {
+      flush_free (flush);
+      g_free (held);
+      return;
+    }
+  if (result == HZB_STORE_ABSENT || (result == HZB_STORE_OK && hzb_wire_parse_item (body, &item)))
+    {
+      r->version = item.version;
+      if (item.value && hzb_json_u64 (item.value, "n") == flush->number)
+        flush_applied (r, flush);
+      else
+        flush_failed (r, flush);
+      hzb_item_clear (&item);
+      flush_free (flush);
+      r->flushing = FALSE;
+      g_free (held);
+      return;
+    }
+  hzb_store_get (held->c->store, HZB_STORE_RECORD, HZB_KEY_FLUSH, on_flush_read, held);
+}
+
+static void
+on_flushed (HzbStoreResult result, const char *body, gpointer user)
+{
+  HzbHeld *held = user;
+  HzbRecords *r = held->c->records;
+  Flush *flush = held->data;
+
+  if (held->epoch != held->c->hold_epoch)
+    {
+      flush_free (flush);
+      g_free (held);
+      return;
+    }
+  if (result == HZB_STORE_UNKNOWN || result == HZB_STORE_CONFLICT)
+    {
+      hzb_store_get (held->c->store, HZB_STORE_RECORD, HZB_KEY_FLUSH, on_flush_read, held);
+      return;
+    }
+  if (result == HZB_STORE_OK)
+    {
+      hzb_wire_parse_txn (body, &r->version, NULL);
+      flush_applied (r, flush);
+    }
+  else
+    flush_failed (r, flush);
+  flush_free (flush);
+  g_free (held);
+  r->flushing = FALSE;
+}
+
+static gboolean
+wants_release (const HzbJob *job)
+{
+  return job->state == HZB_JOB_ACCEPTED && job->releasing < job->n_tasks
+         && job->cursor + HZB_RELEASE_STEP / 4 >= job->releasing;
+}
+
+static cJSON *
+pack_progress_page (Page *page, Flush *out)
+{
+  cJSON *value = cJSON_CreateObject ();
+  for (guint i = 0; i < page->parts->len; i++)
+    {
+      const Part *part = &g_array_index (page->parts, Part, i);
+      HzbJob *job = part->job;
+      FlushedPart *fp = g_new0 (FlushedPart, 1);
+      g_autofree char *name = g_strdup_printf ("%s/%u", job->uid, part->chunk);
+      guint first = part->chunk * HZB_CHUNK;
+      if (wants_release (job))
+        job->releasing = MIN (job->n_tasks, job->releasing + HZB_RELEASE_STEP);
+      fp->uid = g_strdup (job->uid);
+      fp->releasing = job->releasing;
+      fp->finished = g_array_new (FALSE, FALSE, sizeof (guint));
+      for (guint k = first; job->finished && k < MIN (job->n_tasks, first + HZB_CHUNK); k++)
+        if (job->tasks[k].state == HZB_TASK_FINISHED)
+          g_array_append_val (fp->finished, k);
+      g_ptr_array_add (out->parts, fp);
+      cJSON_AddItemToObject (value, name, hzb_job_pack_progress (job, part->chunk));
+    }
+  return value;
+}
+
+static cJSON *
+pack_machine_page (HzbRecords *r, Page *page, Flush *out)
+{
+  cJSON *value = cJSON_CreateObject ();
+  for (guint i = 0; i < page->machines->len; i++)
+    {
+      HzbMachine *m = page->machines->pdata[i];
+      cJSON_AddItemToObject (value, m->name, hzb_machine_pack (m, hzb_clock_wall (r->c->clock)));
+      if (m->recorded)
+        continue;
+      m->recording = TRUE;
+      g_ptr_array_add (out->machines, g_strdup (m->name));
+    }
+  return value;
+}
+
+/* How long the page may wait, as of its last writing; below 0: it need not be written. */
+static double
+may_wait_s (const Page *page)
+{
+  for (guint i = 0; i < page->machines->len; i++)
+    {
+      const HzbMachine *m = page->machines->pdata[i];
+      if (!m->recorded && !m->recording)
+        return 0;
+    }
+  for (guint i = 0; i < page->parts->len; i++)
+    if (wants_release (g_array_index (page->parts, Part, i).job))
+      return 0;
+  if (page->dirty)
+    return PROGRESS_EVERY_S;
+  return page->stale || (page->exists && !page->parts->len && !page->machines->len) ? CLEAN_EVERY_S : -1;
+}
+
+static gint
+longest_unwritten (gconstpointer a, gconstpointer b)
+{
+  const Page *x = *(Page *const *) a, *y = *(Page *const *) b;
+  return hzb_time_before (x->written, y->written) ? -1 : hzb_time_before (y->written, x->written);
+}
+
+static void
+put_page (HzbRecords *r, Page *page, cJSON *txn, Flush *out, struct timespec now)
+{
+  g_autofree char *key = page_key (page);
+
+  page->stale = page->dirty = FALSE;
+  page->written = now;
+  if (!page->parts->len && !page->machines->len)
+    {
+      hzb_wire_txn_delete (txn, key);
+      page->exists = FALSE;
+      return;
+    }
+  hzb_wire_txn_put (txn, key, page->of_machines ? pack_machine_page (r, page, out) : pack_progress_page (page, out), 0);
+  page->exists = TRUE;
+}
+
+static void
+flush (HzbRecords *r, struct timespec now)
+{
+  HzbController *c = r->c;
+  g_autoptr (GPtrArray) due = g_ptr_array_new ();
+  guint room = c->settings->store_txn_ops - 1;
+  gsize bytes = 0;
+  Flush *out;
+  cJSON *txn, *value;
+
+  for (guint i = 0; i < c->jobs->active->len; i++)
+    {
+      HzbJob *job = c->jobs->active->pdata[i];
+      if (!job->on_pages && (job->dirty || wants_release (job)))
+        put_on_pages (r, job);
+    }
+  for (guint i = 0; i < r->pages->len; i++)
+    {
+      Page *page = r->pages->pdata[i];
+      for (guint k = 0; k < page->parts->len && !page->dirty; k++)
+        page->dirty = g_array_index (page->parts, Part, k).job->dirty;
+    }
+  for (guint i = 0; i < c->jobs->active->len; i++)
+    ((HzbJob *) c->jobs->active->pdata[i])->dirty = FALSE;
+  for (guint i = 0; i < c->machines->all->len; i++)
+    {
+      HzbMachine *m = c->machines->all->pdata[i];
+      if (!m->page && m->session && !m->recorded)
+        add_machine (page_with_room (r, TRUE, machine_bytes (m)), m);
+    }
+  for (guint i = 0; i < r->pages->len; i++)
+    {
+      Page *page = r->pages->pdata[i];
+      double wait = may_wait_s (page);
+      if (wait >= 0 && hzb_time_between (page->written, now) >= wait)
+        g_ptr_array_add (due, page);
+    }
+  if (!due->len)
+    return;
+  /* Guards against pages at the end of the row never being written while those before them always have news. */
+  g_ptr_array_sort (due, longest_unwritten);
+  out = g_new0 (Flush, 1);
+  out->parts = g_ptr_array_new_with_free_func (flushed_part_free);
+  out->machines = g_ptr_array_new_with_free_func (g_free);
+  out->number = ++r->flushes;
+  txn = hzb_wire_txn ();
+  hzb_election_guard (c->election, txn);
+  hzb_wire_txn_if (txn, HZB_KEY_FLUSH, r->version);
+  value = cJSON_CreateObject ();
+  hzb_json_add_u64 (value, "n", out->number);
+  hzb_wire_txn_put (txn, HZB_KEY_FLUSH, value, 0);
+  for (guint i = 0; i < due->len && room && (!i || bytes + ((Page *) due->pdata[i])->bytes <= TXN_BYTES); i++, room--)
+    {
+      Page *page = due->pdata[i];
+      bytes += page->bytes;
+      put_page (r, page, txn, out, now);
+    }
+  r->flushing = TRUE;
+  hzb_store_txn (c->store, HZB_STORE_RECORD, txn, on_flushed, hzb_held_new (c, out));
+}
+
+void
+hzb_records_flush_soon (HzbRecords *r)
+{
+  HzbController *c = r->c;
+  struct timespec now = hzb_clock_now (c->clock);
+  if (r->flushing || c->hold < HZB_HOLD_RECOVERING || !hzb_election_leading (c->election)
+      || hzb_time_before (now, r->next))
+    return;
+  r->next = hzb_time_plus (now, FLUSH_EVERY_S);
+  flush (r, now);
+}
--- a/src/store.c
+++ b/src/store.c
@@ -104,8 +104,9 @@
 {
   store->requests -= 1;
   store->writes -= request->writes;
-  hzb_send (store->transport, request->method, store->settings->store_addr, request->path,
-            g_steal_pointer (&request->body), request->timeout_ms, on_reply, request);
+  /* The body stays with the request: one that is answered 429 is sent once more. */
+  hzb_send (store->transport, request->method, store->settings->store_addr, request->path, g_strdup (request->body),
+            request->timeout_ms, on_reply, request);
 }
 
 void
--- a/tests/test-world.c
+++ b/tests/test-world.c
@@ -438,6 +438,28 @@
     }
 }
 
+/* The state service takes few changes: what is refused with 429 is sent once more, whole, and neither a new job nor a
+ * new machine waits for the records of all the others. */
+static void
+test_few_changes (void)
+{
+  World *w = world_new (19);
+  WorldJob *late;
+  guint before;
+  for (guint i = 0; i < 24; i++)
+    world_add_job (w, 1 + 0.1 * i, i % 2 ? "red" : "blue", 10, 1, 4)->type = "small";
+  w->write_rate = 10;
+  world_run (w, 40);
+  before = w->written;
+  late = world_add_job (w, 40, "red", 3, 1, 2); /* urgent */
+  world_run (w, 55);
+  g_assert_true (late->told_done);
+  g_assert_cmpuint (w->written - before, <, 100);
+  world_run (w, 500);
+  expect_all_over (w, "few changes", 19);
+  world_free (w);
+}
+
 /* A rental carried out late, or by nobody known, is used or goes back. */
 static void
 test_surprise_machine (void)
@@ -761,6 +783,7 @@
   g_test_add_func ("/world/cancel-in-flight", test_cancel_in_flight);
   g_test_add_func ("/world/done-is-durable-first", test_done_is_durable_first);
   g_test_add_func ("/world/late-flush", test_late_flush);
+  g_test_add_func ("/world/few-changes", test_few_changes);
   g_test_add_func ("/world/surprise-machine", test_surprise_machine);
   g_test_add_func ("/world/gang-loses-machine", test_gang_loses_machine);
   g_test_add_func ("/world/leader-loses-workers", test_leader_loses_workers);
--- a/tests/world.c
+++ b/tests/world.c
@@ -177,21 +177,28 @@
   wake_watchers (w);
 }
 
-/* What a record of progress says can only grow until it is removed. */
+/* What is recorded of a job's progress can only grow until it is removed. */
 static void
 check_progress (World *w, const char *key, const char *from, const char *to)
 {
-  cJSON *old = cJSON_Parse (from), *new = cJSON_Parse (to);
-  const char *a = hzb_json_text (old, "done"), *b = hzb_json_text (new, "done");
-  gsize n = 0, m = 0;
-  g_autofree guchar *x = a && *a ? g_base64_decode (a, &n) : NULL, *y = b && *b ? g_base64_decode (b, &m) : NULL;
-  gboolean back = hzb_json_number (new, "released", 0) < hzb_json_number (old, "released", 0);
-  for (gsize i = 0; i < n; i++)
-    back = back || (x[i] & ~(i < m ? y[i] : 0));
-  if (back)
-    broken (w, "progress_went_back", "%s: %s -> %s", key, from, to);
-  cJSON_Delete (old);
-  cJSON_Delete (new);
+  cJSON *before = cJSON_Parse (from), *after = cJSON_Parse (to);
+  const cJSON *old;
+  cJSON_ArrayForEach (old, before)
+    {
+      const cJSON *new = cJSON_GetObjectItemCaseSensitive (after, old->string);
+      const char *a = hzb_json_text (old, "done"), *b = hzb_json_text (new, "done");
+      gsize n = 0, m = 0;
+      g_autofree guchar *x = a && *a ? g_base64_decode (a, &n) : NULL, *y = b && *b ? g_base64_decode (b, &m) : NULL;
+      gboolean back = hzb_json_number (new, "released", 0) < hzb_json_number (old, "released", 0);
+      if (!new)
+        continue;
+      for (gsize i = 0; i < n; i++)
+        back = back || (x[i] & ~(i < m ? y[i] : 0));
+      if (back)
+        broken (w, "progress_went_back", "%s, %s: %s -> %s", key, old->string, from, to);
+    }
+  cJSON_Delete (before);
+  cJSON_Delete (after);
 }
 
 static void
@@ -261,9 +268,22 @@
 static guint
 store_txn (World *w, const char *body, char **out)
 {
-  cJSON *txn = cJSON_Parse (body), *root = cJSON_CreateObject (), *failed = cJSON_CreateArray ();
+  cJSON *txn = cJSON_Parse (body ? body : ""), *root = cJSON_CreateObject (), *failed = cJSON_CreateArray ();
   const cJSON *item;
-  guint status = 200;
+  guint status = 200, changes = (guint) cJSON_GetArraySize (cJSON_GetObjectItem (txn, "then"));
+  if (!txn)
+    broken (w, "malformed", "a transaction: %s", body ? body : "no body");
+  w->write_budget = MIN (w->write_budget + (w->now - w->write_filled) * w->write_rate, w->write_rate);
+  w->write_filled = w->now;
+  if (w->write_rate > 0 && changes > w->write_budget)
+    {
+      cJSON_Delete (txn);
+      cJSON_Delete (root);
+      cJSON_Delete (failed);
+      return 429;
+    }
+  w->write_budget -= changes;
+  w->written += changes;
   cJSON_ArrayForEach (item, cJSON_GetObjectItem (txn, "when"))
     {
       const Value *value = g_hash_table_lookup (w->kv, hzb_json_text (item, "path"));
--- a/tests/world.h
+++ b/tests/world.h
@@ -71,6 +71,8 @@
   GPtrArray *history, *watchers;
   guint64 revision, lease_number;
   gboolean outage;
+  double write_rate, write_budget, write_filled; /* changes a second; 0: without limit */
+  guint written;                                 /* changes so far */
   /* cloud */
   GHashTable *requests;
   guint machine_number;
