Accept many jobs in one record

A record now holds what one node accepts at once; how a job ends keeps a record of its own, which must not exist yet. A job nobody knows is told so only after a watch that does not wait has brought the mirror up to the moment. A record whose jobs are all over is removed with the holder's other records.

--- a/src/api.c
+++ b/src/api.c
@@ -1,5 +1,6 @@
-/* The users' side, on every node. An answer that is not final is given only after the state service has
- * confirmed that the record this node knows is the newest; many such checks share one request. */
+/* The users' side, on every node. An answer that is not final is given only after the state service has confirmed
+ * that it is the newest: of a job that is known, that there is no record of its end; of one that is not, that the
+ * mirror lacks nothing. Many such checks share one request, and many acceptances one record. */
 #include "controller.h"
 
 #include <string.h>
@@ -7,7 +8,6 @@
 #define MOST_ACCEPTS 256u
 #define MOST_CHECKS 512u
 #define CHECK_EVERY_S 0.03
-#define TXN_BYTES (56 * 1024)
 
 /* What a request waits for. */
 typedef enum
@@ -22,7 +22,6 @@
   HzbExchange *exchange;
   char *uid;
   Ask ask;
-  guint64 version; /* the one to be confirmed; 0: that there is none */
   char *refusal;   /* ASK_SUBMITTED: why it can't run, if it is not known */
   struct timespec deadline;
 } Check;
@@ -38,8 +37,9 @@
 struct _HzbApi
 {
   HzbController *c;
-  GQueue checks, accepts; /* waiting to be sent */
-  guint checking, accepting;
+  GQueue checks, syncs, accepts; /* waiting to be sent */
+  guint checking, syncing, accepting;
+  guint records; /* of acceptances, by this process */
   struct timespec next_check;
 };
 
@@ -47,10 +47,13 @@
 {
   HzbApi *api;
   GPtrArray *entries;
+  char *key; /* of a record of acceptances */
+  cJSON *record;
 } Batch;
 
 static void flush_accepts (HzbApi *api);
 static void flush_checks (HzbApi *api);
+static void flush_syncs (HzbApi *api);
 static void read_check (HzbApi *api, Check *check);
 static void send_cancel (HzbApi *api, Check *check);
 
@@ -83,7 +86,7 @@
 {
   Check *check;
   Accept *accept;
-  while ((check = g_queue_pop_head (&api->checks)))
+  while ((check = g_queue_pop_head (&api->checks)) || (check = g_queue_pop_head (&api->syncs)))
     {
       hzb_exchange_reply (check->exchange, 503, NULL, 1);
       check_free (check);
@@ -161,8 +164,6 @@
       hzb_item_clear (&item);
       settle (api, check);
     }
-  else if (result == HZB_STORE_ABSENT && !hzb_jobs_find (api->c->jobs, check->uid))
-    settle (api, check);
   else
     {
       unable (check->exchange, "the state service can't be asked");
@@ -183,6 +184,54 @@
   hzb_store_get (api->c->store, HZB_STORE_READ, key, on_read, batch);
 }
 
+static void
+on_synced (gboolean fresh, gpointer user)
+{
+  Batch *batch = user;
+  HzbApi *api = batch->api;
+
+  api->syncing--;
+  for (guint i = 0; i < batch->entries->len; i++)
+    {
+      Check *check = batch->entries->pdata[i];
+      if (fresh)
+        settle (api, check);
+      else
+        {
+          unable (check->exchange, "the state service can't be asked");
+          check_free (check);
+        }
+    }
+  g_ptr_array_unref (batch->entries);
+  g_free (batch);
+  flush_syncs (api);
+}
+
+static void
+flush_syncs (HzbApi *api)
+{
+  Batch *batch;
+  Check *check;
+
+  if (api->syncing || !api->syncs.length)
+    return;
+  batch = g_new0 (Batch, 1);
+  batch->api = api;
+  batch->entries = g_ptr_array_new ();
+  while ((check = g_queue_pop_head (&api->syncs)))
+    g_ptr_array_add (batch->entries, check);
+  api->syncing++;
+  hzb_controller_sync (api->c, on_synced, batch);
+}
+
+/* Resolved by reading, never guessed. */
+static void
+sync_check (HzbApi *api, Check *check)
+{
+  g_queue_push_tail (&api->syncs, check);
+  flush_syncs (api);
+}
+
 static void
 on_checked (HzbStoreResult result, const char *body, gpointer user)
 {
@@ -240,10 +289,8 @@
   while (batch->entries->len < most && api->checks.length)
     {
       Check *check = g_queue_pop_head (&api->checks);
-      HzbJob *job = hzb_jobs_find (c->jobs, check->uid);
       g_autofree char *key = g_strconcat (HZB_KEY_JOBS, check->uid, NULL);
-      check->version = job ? job->version : 0;
-      hzb_wire_txn_if (txn, key, check->version);
+      hzb_wire_txn_if (txn, key, 0);
       g_ptr_array_add (batch->entries, check);
     }
   api->checking++;
@@ -255,7 +302,7 @@
 {
   Check *check;
 
-  if (api->checks.length >= MOST_CHECKS)
+  if (api->checks.length + api->syncs.length >= MOST_CHECKS)
     {
       hzb_exchange_reply (exchange, ask == ASK_SUBMITTED ? 429 : 503, hzb_wire_error ("too much is asked at once"), 2);
       return;
@@ -266,6 +313,11 @@
   check->ask = ask;
   check->refusal = g_strdup (refusal);
   check->deadline = hzb_time_plus (hzb_clock_now (api->c->clock), 3);
+  if (!hzb_jobs_find (api->c->jobs, uid))
+    {
+      sync_check (api, check);
+      return;
+    }
   g_queue_push_tail (&api->checks, check);
   flush_checks (api);
 }
@@ -297,7 +349,7 @@
       check_free (check);
     }
   else
-    read_check (api, check); /* resolved by reading, never guessed */
+    sync_check (api, check);
 }
 
 static void
@@ -319,7 +371,7 @@
   batch->api = api;
   batch->entries = g_ptr_array_new ();
   g_ptr_array_add (batch->entries, check);
-  hzb_wire_txn_if (txn, key, job->version);
+  hzb_wire_txn_if (txn, key, 0);
   hzb_wire_txn_put (txn, key, hzb_jobs_pack_final (HZB_JOB_CANCELLED, job->n_tasks), 0);
   hzb_store_txn (api->c->store, HZB_STORE_ACCEPT, txn, on_cancelled, batch);
 }
@@ -333,45 +385,48 @@
   HzbApi *api = batch->api;
   HzbController *c = api->c;
   g_autoptr (GPtrArray) failed = NULL;
-  guint64 revision = 0;
 
   api->accepting--;
-  hzb_wire_parse_txn (body, &revision, &failed);
+  if (result == HZB_STORE_CONFLICT)
+    hzb_wire_parse_txn (body, NULL, &failed);
+  if (result == HZB_STORE_OK)
+    hzb_jobs_take_acceptance (c->jobs, batch->key, batch->record);
   for (guint i = 0; i < batch->entries->len; i++)
     {
       Accept *accept = batch->entries->pdata[i];
       const char *uid = accept->spec->uid;
-      gboolean known = FALSE;
+      gboolean over = FALSE;
+      for (guint k = 0; failed && k < failed->len; k++)
+        over = over || g_str_equal ((char *) failed->pdata[k] + strlen (HZB_KEY_JOBS), uid);
       if (result == HZB_STORE_OK)
         {
-          cJSON *value = cJSON_Parse (accept->packed);
-          HzbJob *job = hzb_jobs_apply (c->jobs, uid, value, revision);
-          cJSON_Delete (value);
+          const HzbJob *job = hzb_jobs_find (c->jobs, uid);
           hzb_exchange_reply (accept->exchange, 201, hzb_wire_job_status (uid, job ? hzb_job_status (job) : "queued", FALSE, 0, 0), 0);
-          accept_free (accept);
-          continue;
         }
-      for (guint k = 0; k < failed->len; k++)
-        known = known || g_str_equal ((char *) failed->pdata[k] + strlen (HZB_KEY_JOBS), uid);
-      if (result == HZB_STORE_CONFLICT && !known && batch->entries->len > 1)
+      else if (result == HZB_STORE_CONFLICT && !over && batch->entries->len > 1)
         {
           g_queue_push_head (&api->accepts, accept); /* another of the batch was the reason */
           continue;
         }
-      if (result == HZB_STORE_CONFLICT || result == HZB_STORE_UNKNOWN)
+      else if (result == HZB_STORE_CONFLICT || result == HZB_STORE_UNKNOWN)
         {
           Check *check = g_new0 (Check, 1);
           check->exchange = accept->exchange;
           check->uid = g_strdup (uid);
           /* Not there: it may still come, so the user is told to come back. */
           check->ask = ASK_SUBMITTED;
-          read_check (api, check);
+          if (over)
+            read_check (api, check);
+          else
+            sync_check (api, check);
         }
       else
         unable (accept->exchange, "the state service can't be asked");
       accept_free (accept);
     }
   g_ptr_array_unref (batch->entries);
+  g_free (batch->key);
+  cJSON_Delete (batch->record);
   g_free (batch);
   flush_accepts (api);
 }
@@ -386,15 +441,16 @@
     {
       Batch *batch = g_new0 (Batch, 1);
       cJSON *txn = hzb_wire_txn ();
-      g_autoptr (GHashTable) uids = g_hash_table_new (g_str_hash, g_str_equal);
-      gsize bytes = 0;
+      gsize bytes = 0, most = (gsize) (c->settings->store_value_kb * 1024) - 64;
       batch->api = api;
       batch->entries = g_ptr_array_new ();
-      while (api->accepts.length && batch->entries->len < c->settings->store_txn_ops)
+      batch->record = cJSON_CreateObject ();
+      while (api->accepts.length && batch->entries->len < MIN (64, 4 * c->settings->store_txn_ops))
         {
           Accept *accept = g_queue_peek_head (&api->accepts);
-          g_autofree char *key = NULL;
-          gsize length = strlen (accept->packed) + 200;
+          const char *uid = accept->spec->uid;
+          g_autofree char *key = g_strconcat (HZB_KEY_JOBS, uid, NULL);
+          gsize length = strlen (accept->packed) + strlen (uid) + 8;
           if (hzb_time_before (accept->deadline, now))
             {
               g_queue_pop_head (&api->accepts);
@@ -402,23 +458,25 @@
               accept_free (accept);
               continue;
             }
-          if (g_hash_table_contains (uids, accept->spec->uid) || (batch->entries->len && bytes + length > TXN_BYTES))
+          if (cJSON_HasObjectItem (batch->record, uid) || (batch->entries->len && bytes + length > most))
             break;
           g_queue_pop_head (&api->accepts);
-          g_hash_table_add (uids, accept->spec->uid);
           bytes += length;
-          key = g_strconcat (HZB_KEY_JOBS, accept->spec->uid, NULL);
-          hzb_wire_txn_if (txn, key, 0);
-          hzb_wire_txn_put (txn, key, cJSON_Parse (accept->packed), 0);
+          hzb_wire_txn_if (txn, key, 0); /* not over long since */
+          cJSON_AddItemToObject (batch->record, uid, cJSON_Parse (accept->packed));
           g_ptr_array_add (batch->entries, accept);
         }
       if (!batch->entries->len)
         {
           cJSON_Delete (txn);
+          cJSON_Delete (batch->record);
           g_ptr_array_unref (batch->entries);
           g_free (batch);
           return;
         }
+      batch->key = g_strdup_printf ("%s%s-%s-%u", HZB_KEY_ACCEPTED, c->settings->node, c->incarnation, ++api->records);
+      hzb_wire_txn_if (txn, batch->key, 0);
+      hzb_wire_txn_put (txn, batch->key, cJSON_Duplicate (batch->record, TRUE), 0);
       api->accepting++;
       hzb_store_txn (c->store, HZB_STORE_ACCEPT, txn, on_accepted, batch);
     }
@@ -582,4 +640,5 @@
 {
   flush_accepts (api);
   flush_checks (api);
+  flush_syncs (api);
 }
--- a/src/controller.c
+++ b/src/controller.c
@@ -19,6 +19,8 @@
       if (item->value)
         hzb_jobs_apply (c->jobs, item->key + strlen (HZB_KEY_JOBS), item->value, item->version);
     }
+  else if (g_str_has_prefix (item->key, HZB_KEY_ACCEPTED))
+    hzb_jobs_take_acceptance (c->jobs, item->key, item->value);
   else if (g_str_equal (item->key, HZB_KEY_TYPES))
     {
       GPtrArray *types = item->value ? hzb_wire_unpack_types (item->value) : NULL;
@@ -97,6 +99,45 @@
   mirror_step (c);
 }
 
+typedef struct
+{
+  HzbController *c;
+  HzbSyncFunc done;
+  gpointer user;
+} Sync;
+
+static void
+on_synced (HzbStoreResult result, const char *body, gpointer user)
+{
+  g_autofree Sync *sync = user;
+  HzbController *c = sync->c;
+  guint64 revision = 0;
+  g_autoptr (GArray) items = result == HZB_STORE_OK ? hzb_wire_parse_watch (body, &revision) : NULL;
+
+  for (guint i = 0; items && i < items->len; i++)
+    hzb_controller_take_item (c, &g_array_index (items, HzbItem, i));
+  if (items)
+    c->revision = MAX (c->revision, revision);
+  sync->done (items != NULL, sync->user);
+}
+
+/* A watch that does not wait brings all that has changed up to now. */
+void
+hzb_controller_sync (HzbController *c, HzbSyncFunc done, gpointer user)
+{
+  Sync *sync;
+  if (c->mirror != HZB_MIRROR_FOLLOWING)
+    {
+      done (FALSE, user);
+      return;
+    }
+  sync = g_new0 (Sync, 1);
+  sync->c = c;
+  sync->done = done;
+  sync->user = user;
+  hzb_store_news (c->store, HZB_KEY_MIRROR, c->revision, on_synced, sync);
+}
+
 static void
 mirror_step (HzbController *c)
 {
@@ -322,7 +363,7 @@
   key = g_strconcat (HZB_KEY_JOBS, job->uid, NULL);
   txn = hzb_wire_txn ();
   hzb_election_guard (c->election, txn);
-  hzb_wire_txn_if (txn, key, job->version);
+  hzb_wire_txn_if (txn, key, 0); /* it has not been cancelled */
   hzb_wire_txn_put (txn, key, hzb_jobs_pack_final (HZB_JOB_DONE, job->n_tasks), 0);
   hzb_store_txn (c->store, HZB_STORE_ACCEPT, txn, on_ended, hzb_held_new (c, g_strdup (job->uid)));
 }
--- a/src/controller.h
+++ b/src/controller.h
@@ -98,6 +98,9 @@
 void hzb_controller_request (HzbExchange *exchange, gpointer controller);      /* users and workers */
 void hzb_controller_peer_request (HzbExchange *exchange, gpointer controller); /* other controllers */
 gboolean hzb_controller_ready (HzbController *c);
+/* Brings the mirror up to this moment; FALSE: it could not be. */
+typedef void (*HzbSyncFunc) (gboolean fresh, gpointer user);
+void hzb_controller_sync (HzbController *c, HzbSyncFunc done, gpointer user);
 void hzb_controller_take_item (HzbController *c, const HzbItem *item);
 void hzb_controller_end_job (HzbController *c, HzbJob *job); /* all its tasks have finished */
 
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -30,11 +30,19 @@
   g_free (job);
 }
 
+static void
+acceptance_free (gpointer data)
+{
+  g_free (((HzbAcceptance *) data)->key);
+  g_free (data);
+}
+
 HzbJobs *
 hzb_jobs_new (HzbClock *clock, const HzbSettings *settings)
 {
   HzbJobs *jobs = g_new0 (HzbJobs, 1);
   jobs->by_uid = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, job_free);
+  jobs->acceptances = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, acceptance_free);
   jobs->active = g_ptr_array_new ();
   jobs->leanings = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   jobs->clock = clock;
@@ -48,6 +56,7 @@
   g_ptr_array_unref (jobs->active);
   g_hash_table_unref (jobs->leanings);
   g_hash_table_unref (jobs->by_uid);
+  g_hash_table_unref (jobs->acceptances);
   g_free (jobs);
 }
 
@@ -93,7 +102,7 @@
   gboolean accepted = g_strcmp0 (state, "accepted") == 0;
   g_autoptr (HzbSpec) spec = NULL;
 
-  if (job && job->version >= version)
+  if (job && (job->version || accepted))
     return job;
   if (accepted)
     {
@@ -116,22 +125,22 @@
       job->team = -1;
       g_hash_table_insert (jobs->by_uid, job->uid, job);
     }
-  job->version = version;
   if (accepted)
     {
       double at = hzb_json_number (value, "at", 0);
       job->state = HZB_JOB_ACCEPTED;
       job->accepted = hzb_time_plus ((struct timespec){ 0 }, at);
-      if (!job->spec)
-        job->spec = g_steal_pointer (&spec);
+      job->spec = g_steal_pointer (&spec);
       job->n_tasks = job->spec->tasks;
       job->team = hzb_settings_team (jobs->settings, job->spec->team);
       if (jobs->block && !jobs->lessee)
         hzb_jobs_activate (jobs, job);
       return job;
     }
-  if (job->state == HZB_JOB_ACCEPTED && job->version)
-    g_debug ("job %s is %s", uid, state);
+  job->version = version;
+  if (job->acceptance)
+    job->acceptance->open--;
+  job->acceptance = NULL;
   job->state = g_str_equal (state, "done") ? HZB_JOB_DONE : HZB_JOB_CANCELLED;
   job->n_tasks = (guint) hzb_json_number (value, "n", job->n_tasks);
   if (!job->tasks)
@@ -139,6 +148,49 @@
   return job;
 }
 
+void
+hzb_jobs_take_acceptance (HzbJobs *jobs, const char *key, const cJSON *value)
+{
+  HzbAcceptance *acceptance = g_hash_table_lookup (jobs->acceptances, key);
+  const cJSON *entry;
+
+  if (!value)
+    {
+      /* The records of its jobs' ends come before its removal, but perhaps not to this node. */
+      if (acceptance && acceptance->open)
+        acceptance->removing = TRUE;
+      else
+        g_hash_table_remove (jobs->acceptances, key);
+      return;
+    }
+  if (acceptance)
+    return;
+  acceptance = g_new0 (HzbAcceptance, 1);
+  acceptance->key = g_strdup (key);
+  g_hash_table_insert (jobs->acceptances, acceptance->key, acceptance);
+  cJSON_ArrayForEach (entry, value)
+    {
+      HzbJob *job = hzb_jobs_apply (jobs, entry->string, entry, 0);
+      if (job && !job->version && !job->acceptance)
+        {
+          job->acceptance = acceptance;
+          acceptance->open++;
+        }
+    }
+}
+
+HzbAcceptance *
+hzb_jobs_spent_acceptance (HzbJobs *jobs)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, jobs->acceptances);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (!((HzbAcceptance *) value)->open && !((HzbAcceptance *) value)->removing)
+      return value;
+  return NULL;
+}
+
 /* ---- holding ---- */
 
 void
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -5,7 +5,9 @@
 #include "clock.h"
 #include "wire.h"
 
-#define HZB_KEY_JOBS "hzb/a/jobs/main/" /* room for tenants: main is the only one so far */
+/* Room for tenants: main is the only one so far. Jobs are accepted many to a record; how each ends has one of its own. */
+#define HZB_KEY_ACCEPTED "hzb/a/accepted/main/"
+#define HZB_KEY_JOBS "hzb/a/jobs/main/"
 #define HZB_KEY_PROGRESS "hzb/x/progress/main/"
 #define HZB_CHUNK 32768u
 #define HZB_RELEASE_STEP 4096u
@@ -53,11 +55,20 @@
   struct timespec not_before; /* after a failure */
 } HzbTask;
 
+/* A record of jobs that were accepted together. */
+typedef struct
+{
+  char *key;
+  guint open; /* jobs in it that are not over */
+  gboolean removing;
+} HzbAcceptance;
+
 struct _HzbJob
 {
   char *uid;
   HzbJobState state;
-  guint64 version;
+  guint64 version; /* of the record of its end; 0: there is none */
+  HzbAcceptance *acceptance; /* while it is not over */
   guint n_tasks;
   struct timespec accepted; /* time of day */
   HzbSpec *spec;            /* NULL once over, unless tasks may still be about */
@@ -84,6 +95,7 @@
 typedef struct
 {
   GHashTable *by_uid; /* uid -> HzbJob */
+  GHashTable *acceptances; /* key -> HzbAcceptance */
   GPtrArray *active;  /* the holder's: jobs with a part of it, by age */
   HzbClock *clock;
   const HzbSettings *settings;
@@ -95,8 +107,10 @@
 HzbJobs *hzb_jobs_new (HzbClock *clock, const HzbSettings *settings);
 void hzb_jobs_free (HzbJobs *jobs);
 HzbJob *hzb_jobs_find (HzbJobs *jobs, const char *uid);
-/* A record as the state service has it; NULL if it makes no sense. Older versions change nothing. */
+/* A record as the state service has it; NULL if it makes no sense. Of a job that is over nothing changes any more. */
 HzbJob *hzb_jobs_apply (HzbJobs *jobs, const char *uid, const cJSON *value, guint64 version);
+void hzb_jobs_take_acceptance (HzbJobs *jobs, const char *key, const cJSON *value); /* NULL: it is removed */
+HzbAcceptance *hzb_jobs_spent_acceptance (HzbJobs *jobs); /* one whose jobs are all over; NULL: none */
 cJSON *hzb_jobs_pack_accepted (const HzbSpec *spec, struct timespec wall);
 cJSON *hzb_jobs_pack_final (HzbJobState state, guint n_tasks);
 const char *hzb_job_status (const HzbJob *job);
--- a/src/records.c
+++ b/src/records.c
@@ -44,7 +44,7 @@
   guint numbers;    /* used so far */
   guint64 version, flushes; /* of the flush record */
   gboolean flushing;
-  struct timespec next;
+  struct timespec next, next_clean;
 };
 
 static void
@@ -293,6 +293,7 @@
   guint64 number;
   GPtrArray *parts;    /* FlushedPart */
   GPtrArray *machines; /* char*, names recorded */
+  GPtrArray *spent;    /* char*, keys of acceptances removed */
 } Flush;
 
 static void
@@ -309,6 +310,7 @@
 {
   g_ptr_array_unref (flush->parts);
   g_ptr_array_unref (flush->machines);
+  g_ptr_array_unref (flush->spent);
   g_free (flush);
 }
 
@@ -339,6 +341,8 @@
       if (m)
         m->recorded = TRUE;
     }
+  for (guint i = 0; i < flush->spent->len; i++)
+    hzb_jobs_take_acceptance (c->jobs, flush->spent->pdata[i], NULL);
 }
 
 /* Not applied, or it will never be: all of it is written again. */
@@ -358,6 +362,12 @@
       if (m)
         m->recording = FALSE;
     }
+  for (guint i = 0; i < flush->spent->len; i++)
+    {
+      HzbAcceptance *acceptance = g_hash_table_lookup (c->jobs->acceptances, flush->spent->pdata[i]);
+      if (acceptance)
+        acceptance->removing = FALSE;
+    }
   for (guint i = 0; i < r->pages->len; i++)
     ((Page *) r->pages->pdata[i])->stale = TRUE;
 }
@@ -520,6 +530,8 @@
   g_autoptr (GPtrArray) due = g_ptr_array_new ();
   guint room = c->settings->store_txn_ops - 1;
   gsize bytes = 0;
+  HzbAcceptance *spent;
+  gboolean clean;
   Flush *out;
   cJSON *txn, *value;
 
@@ -550,13 +562,15 @@
       if (wait >= 0 && hzb_time_between (page->written, now) >= wait)
         g_ptr_array_add (due, page);
     }
-  if (!due->len)
+  clean = !hzb_time_before (now, r->next_clean) && hzb_jobs_spent_acceptance (c->jobs);
+  if (!due->len && !clean)
     return;
   /* Guards against pages at the end of the row never being written while those before them always have news. */
   g_ptr_array_sort (due, longest_unwritten);
   out = g_new0 (Flush, 1);
   out->parts = g_ptr_array_new_with_free_func (flushed_part_free);
   out->machines = g_ptr_array_new_with_free_func (g_free);
+  out->spent = g_ptr_array_new_with_free_func (g_free);
   out->number = ++r->flushes;
   txn = hzb_wire_txn ();
   hzb_election_guard (c->election, txn);
@@ -570,6 +584,14 @@
       bytes += page->bytes;
       put_page (r, page, txn, out, now);
     }
+  for (; clean && room && (spent = hzb_jobs_spent_acceptance (c->jobs)); room--)
+    {
+      spent->removing = TRUE;
+      hzb_wire_txn_delete (txn, spent->key);
+      g_ptr_array_add (out->spent, g_strdup (spent->key));
+    }
+  if (clean)
+    r->next_clean = hzb_time_plus (now, CLEAN_EVERY_S);
   r->flushing = TRUE;
   hzb_store_txn (c->store, HZB_STORE_RECORD, txn, on_flushed, hzb_held_new (c, out));
 }
--- a/src/store.c
+++ b/src/store.c
@@ -188,6 +188,12 @@
   add (store, HZB_STORE_LEASE, "GET", hzb_wire_watch_path (prefix, after, wait_ms), NULL, 0, wait_ms + 2000, done, user);
 }
 
+void
+hzb_store_news (HzbStore *store, const char *prefix, guint64 after, HzbStoreFunc done, gpointer user)
+{
+  add (store, HZB_STORE_READ, "GET", hzb_wire_watch_path (prefix, after, 0), NULL, 0, CALL_MS, done, user);
+}
+
 void
 hzb_store_lease (HzbStore *store, guint ttl_ms, HzbStoreFunc done, gpointer user)
 {
