Machines that hear nothing, late copies, and less to wait for after a takeover

- That a report came and was answered does not show that the answer arrived: a machine that shows none of the starts of two answers, or whose session ends although it was answered, takes no work until it shows a token raised since.
- Once a session is over for certain nothing of it is news.
A report alone makes no machine: only one that was rented, recorded or listed gets work.
- Tasks are released as machines can take them (64, or 1/32 of the job), so few are unknown after a takeover.
A machine given back by a lessee names its tasks, and a lost lessee's tasks wait for that block's machines only.

--- a/src/controller.c
+++ b/src/controller.c
@@ -427,8 +427,12 @@
   else if (rental.type)
     hzb_fleet_granted (c->fleet, &rental);
   for (guint i = 0; names && i < names->len; i++)
-    if (!hzb_machines_find (c->machines, names->pdata[i]))
-      hzb_machines_add (c->machines, names->pdata[i], NULL, call->type, call->zone, call->spot, HZB_MACHINE_BOOTING);
+    {
+      HzbMachine *m = hzb_machines_find (c->machines, names->pdata[i]);
+      if (!m)
+        m = hzb_machines_add (c->machines, names->pdata[i], NULL, call->type, call->zone, call->spot, HZB_MACHINE_BOOTING);
+      m->vouched = TRUE;
+    }
   g_message ("asked for %u %s%s in %s: got %u", call->count, call->type, call->spot ? " (spot)" : "", call->zone,
              names ? names->len : 0);
   rent_call_free (call);
@@ -509,13 +513,16 @@
         m->wanted_back = TRUE; /* silence proves nothing: only the cloud can say that it is gone */
       if (m->state == HZB_MACHINE_SILENT && in_state > FORGET_SILENT_S)
         m->wanted_back = TRUE;
+      /* A short deafness costs no machine; one that stays deaf longer than its lease is of no use. */
+      if (m->deaf && hzb_time_between (m->deaf_since, now) > c->settings->lease_s + FORGET_SILENT_S)
+        m->wanted_back = TRUE;
       if (!m->wanted_back || m->state == HZB_MACHINE_RETURNING)
         continue;
       if (hzb_machine_listed (m))
         hzb_machine_empty_lists (c->jobs, m);
       if (m->state == HZB_MACHINE_ACTIVE && m->tasks->len)
         hzb_machine_set_state (c->machines, m, HZB_MACHINE_DRAINING, "to be returned");
-      if (m->tasks->len == 0 || in_state > 120)
+      if (m->state == HZB_MACHINE_UNHEARD ? in_state > c->settings->lease_s + 2 : m->tasks->len == 0 || in_state > 120)
         hzb_machine_set_state (c->machines, m, HZB_MACHINE_RETURNING, "to be returned");
     }
   if (c->returning || hzb_time_before (now, c->next_return))
@@ -586,6 +593,7 @@
           m = hzb_machines_add (c->machines, l->name, l->addr, l->type, l->zone, l->spot, HZB_MACHINE_BOOTING);
           m->rented = hzb_time_plus (now, -l->age_s);
         }
+      m->vouched = TRUE;
       if (l->state == HZB_LISTED_FAILED && m->state == HZB_MACHINE_LENT)
         m->wanted_back = TRUE;
       else if (l->state == HZB_LISTED_FAILED && m->state != HZB_MACHINE_RETURNING)
@@ -617,6 +625,7 @@
           && hzb_time_between (m->answered, now) > over)
         {
           hzb_machine_lose_tasks (c->jobs, m);
+          m->over_session = m->session;
           hzb_machine_set_state (c->machines, m, HZB_MACHINE_SILENT, "its lease is over");
         }
       else if (m->state == HZB_MACHINE_ACTIVE && hzb_time_between (m->heard, now) > 3 * c->settings->report_s
@@ -722,15 +731,24 @@
              up, cpus, held, busy, booting, booting_cpus, other, running, fetching, waiting);
 }
 
+static void
+resolve_unknown (HzbController *c)
+{
+  if (c->hold != HZB_HOLD_RECOVERING && !hzb_jobs_any_unknown (c->jobs))
+    return;
+  for (guint block = 0; block <= c->peers->len; block++)
+    if (hzb_machines_all_heard (c->machines, block))
+      {
+        hzb_jobs_resolve_unknown (c->jobs, block);
+        if (block == HZB_SUSPECT_OF_LEADER && c->hold == HZB_HOLD_RECOVERING)
+          set_hold (c, HZB_HOLD_FULL, "every machine has answered or is gone");
+      }
+}
+
 static void
 hold_tick (HzbController *c, struct timespec now)
 {
-  if ((c->hold == HZB_HOLD_RECOVERING || hzb_jobs_any_unknown (c->jobs)) && hzb_machines_all_heard (c->machines))
-    {
-      hzb_jobs_resolve_unknown (c->jobs);
-      if (c->hold == HZB_HOLD_RECOVERING)
-        set_hold (c, HZB_HOLD_FULL, "every machine has answered or is gone");
-    }
+  resolve_unknown (c);
   check_leases (c, now);
   tend_jobs (c, now);
   give_back (c, now);
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -528,18 +528,12 @@
       /* Only as much goes to lists as the team may use: what waits for its limit holds nobody up. */
       while (budget && hzb_block_fits (block, job->team, cpus[job->team] + spec->cpus, gpus[job->team] + spec->gpus))
         {
-          HzbTask *task = hzb_job_next_pending (job, now);
-          HzbMachine *m;
-          if (!task)
+          HzbTask *task;
+          HzbMachine *m = hzb_dispatch_choose (d, job, now);
+          /* No machine, or even the least loaded has work for a while: it waits here, where what comes later and is
+           * more pressing can still go first. Only what a machine could take is asked for, and so released. */
+          if (!m || listed_s (m, job->class) > d->list_ahead_s || !(task = hzb_job_next_pending (job, now)))
             break;
-          m = hzb_dispatch_choose (d, job, now);
-          if (!m || listed_s (m, job->class) > d->list_ahead_s)
-            {
-              /* No machine, or even the least loaded has work for a while: it waits here, where what comes later
-               * and is more pressing can still go first. */
-              g_queue_push_head (&job->retry, task);
-              break;
-            }
           put_on_list (d, task, m, now);
           cpus[job->team] += spec->cpus;
           gpus[job->team] += spec->gpus;
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #define SICK_AFTER 3u
+#define DEAF_AFTER 2u
 
 static void
 order (GArray *orders, HzbOrderKind kind, const char *uid, guint task, guint64 attempt, double grace_s)
@@ -205,24 +206,47 @@
     }
 }
 
+/* Guards against a machine whose reports arrive while no answer reaches it: that a report came, and was answered, does
+ * not show that the answer did. What shows it is that the starts of the last answer are there. */
+static void
+judge_hearing (HzbController *c, HzbMachine *m, guint starts, guint missing, struct timespec now)
+{
+  if (starts)
+    m->unobeyed = missing < starts ? 0 : m->unobeyed + 1;
+  if (m->unobeyed < DEAF_AFTER || m->deaf)
+    return;
+  if (c->hold == HZB_HOLD_LEASED)
+    m->deaf = TRUE; /* it goes back to the leader, who can raise its token */
+  else
+    hzb_machine_doubt (m, hzb_leases_next_token (c->leases), now);
+  hzb_machine_empty_lists (c->jobs, m);
+}
+
 static void
 take_report (HzbController *c, HzbMachine *m, const HzbReport *report, struct timespec now, GArray *orders)
 {
+  guint starts = 0, missing = 0;
+
   m->round++;
   if (m->state == HZB_MACHINE_UNHEARD || m->state == HZB_MACHINE_BOOTING || m->state == HZB_MACHINE_SILENT)
     hzb_machine_set_state (c->machines, m, HZB_MACHINE_ACTIVE, "reports under our token");
   m->confirmed = TRUE;
+  for (guint i = 0; i < m->tasks->len; i++)
+    starts += ((HzbTask *) m->tasks->pdata[i])->state == HZB_TASK_STARTING;
   for (guint i = 0; i < report->pieces->len; i++)
     take_piece (c, m, &g_array_index (report->pieces, HzbPiece, i), now, orders);
   /* What a newer report does not show is not there, whether its start was lost or it is forgotten. */
   for (guint i = 0; i < m->tasks->len;)
     {
       HzbTask *task = m->tasks->pdata[i];
+      if (task->state == HZB_TASK_STARTING)
+        missing++;
       if (task->state == HZB_TASK_BOOKED || task->seen == m->round)
         i++;
       else
         hzb_task_set_state (c->jobs, task, HZB_TASK_PENDING, NULL);
     }
+  judge_hearing (c, m, starts, missing, now);
   if (m->tasks->len)
     m->idle_since = now;
   if (report->notice_s >= 0)
@@ -236,6 +260,21 @@
   hzb_exchange_reply (exchange, 421, hzb_wire_redirect (hzb_election_leader (c->election)), 0);
 }
 
+/* Guards against reports that a cut held back, and copies of reports: what they say is as old as they are. Once a
+ * session is over for certain, nothing of it is news, whatever its number. */
+static gboolean
+is_late (const HzbMachine *m, const HzbReport *report)
+{
+  return report->session < m->session || (report->session == m->session && report->seq <= m->seq)
+         || report->session <= m->over_session;
+}
+
+static void
+refuse_late (HzbExchange *exchange)
+{
+  hzb_exchange_reply (exchange, 503, hzb_wire_error ("an older report"), 0);
+}
+
 /* On a lessee: the machine, if it is in the block and the block is still ours. */
 static HzbMachine *
 leased_machine (HzbController *c, const HzbReport *report)
@@ -279,10 +318,15 @@
     m = hzb_machines_add (c->machines, report->host, report->addr, report->type, report->zone, report->spot,
                           HZB_MACHINE_BOOTING);
   if (!m->token)
-    m->token = c->block->token;
+    hzb_machine_set_token (m, c->block->token);
+  if (is_late (m, report) && m->state != HZB_MACHINE_LENT)
+    {
+      refuse_late (exchange);
+      return NULL;
+    }
   /* A token that a worker has seen beyond what we know of: ours for it must not be lower. */
   if (report->token > m->token && m->state != HZB_MACHINE_LENT)
-    m->token = hzb_leases_next_token (c->leases);
+    hzb_machine_set_token (m, hzb_leases_next_token (c->leases));
   if (m->state == HZB_MACHINE_LENT)
     lessee = hzb_leases_lessee (c->leases, m);
   else if (report->pieces->len == 0 && report->notice_s < 0)
@@ -331,22 +375,32 @@
     }
   if (leads && !(m = own_machine (c, report, exchange)))
     return;
-  /* Guards against reports that a cut held back: what they say is as old as they are. */
-  if (report->session < m->session || (report->session == m->session && report->seq <= m->seq))
+  if (is_late (m, report))
     {
-      hzb_exchange_reply (exchange, 503, hzb_wire_error ("an older report"), 0);
+      refuse_late (exchange);
       return;
     }
   if (report->session > m->session && m->session && m->confirmed)
-    hzb_machine_lose_tasks (c->jobs, m); /* its lease ended, and with it all its tasks */
+    {
+      /* Its lease ended, and with it all its tasks; although it was answered all the time, it may be. */
+      if (hzb_time_between (m->answered, now) < c->settings->lease_s - 2 * c->settings->report_s)
+        m->unobeyed = DEAF_AFTER;
+      hzb_machine_lose_tasks (c->jobs, m);
+    }
   m->session = report->session;
   m->seq = report->seq;
   m->heard = m->answered = now;
   if (!m->recorded)
     hzb_records_flush_soon (c->records);
+  if (m->deaf && report->token == m->token)
+    {
+      m->deaf = FALSE;
+      m->unobeyed = 0;
+    }
   /* A machine that nobody has ever recorded, and that has seen no token, holds nothing and obeys nobody yet: its
    * report is as good as one under ours. (After a takeover every recorded machine is unheard, not booting.) */
-  if (report->token == m->token || (report->token == 0 && m->state == HZB_MACHINE_BOOTING && !report->pieces->len))
+  if ((report->token >= m->own_token && report->token <= m->token)
+      || (report->token == 0 && m->state == HZB_MACHINE_BOOTING && m->vouched && !report->pieces->len))
     {
       take_report (c, m, report, now, orders);
       /* Starts only while nobody else can have been elected, or the lease is good; see docs/safety.md. */
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -16,7 +16,7 @@
   job->elsewhere = job->lent_running = 0;
   job->cursor = job->pending = job->listed = job->unknown = job->placed = job->running = 0;
   job->finished = job->done = job->released = job->releasing = 0;
-  job->dirty = job->ending = job->on_pages = job->told_lessees = FALSE;
+  job->dirty = job->ending = job->on_pages = job->wants_release = job->told_lessees = FALSE;
   job->failures = 0;
 }
 
@@ -256,7 +256,10 @@
       job->cursor = job->released = job->releasing = job->n_tasks;
     }
   else
-    job->pending = job->n_tasks;
+    {
+      job->pending = job->n_tasks;
+      job->wants_release = job->spec->gang; /* which needs all of them at once */
+    }
   /* Tokens are never used twice, so neither are attempts. */
   job->next_attempt = jobs->block->token << 17;
   waited = hzb_time_between (job->accepted, hzb_clock_wall (jobs->clock));
@@ -347,14 +350,17 @@
 }
 
 void
-hzb_jobs_resolve_unknown (HzbJobs *jobs)
+hzb_jobs_resolve_unknown (HzbJobs *jobs, guint lessee)
 {
   for (guint i = 0; i < jobs->active->len; i++)
     {
       HzbJob *job = jobs->active->pdata[i];
       for (guint k = 0; job->unknown && k < job->n_tasks; k++)
-        if (job->tasks[k].state == HZB_TASK_UNKNOWN)
-          hzb_task_set_state (jobs, &job->tasks[k], HZB_TASK_PENDING, NULL);
+        if (job->tasks[k].state == HZB_TASK_UNKNOWN && job->tasks[k].lessee == lessee)
+          {
+            hzb_task_set_state (jobs, &job->tasks[k], HZB_TASK_PENDING, NULL);
+            job->tasks[k].lessee = 0;
+          }
     }
 }
 
@@ -410,7 +416,7 @@
 
 static const guint legal[HZB_TASK_N_STATES] = {
   [HZB_TASK_ELSEWHERE] = B (PENDING),
-  [HZB_TASK_GRANTED] = B (PENDING) | B (UNKNOWN) | B (FINISHED),
+  [HZB_TASK_GRANTED] = B (PENDING) | B (UNKNOWN) | B (STARTING) | B (FINISHED),
   [HZB_TASK_PENDING] = B (ELSEWHERE) | B (GRANTED) | B (LISTED) | B (BOOKED) | B (UNKNOWN) | B (DONE) | SEEN | B (FINISHED),
   [HZB_TASK_LISTED] = B (PENDING) | B (BOOKED) | B (STARTING),
   [HZB_TASK_UNKNOWN] = B (PENDING) | SEEN | B (FINISHED) | B (DONE),
@@ -525,5 +531,6 @@
   for (; job->cursor < job->released; job->cursor++)
     if (job->tasks[job->cursor].state == HZB_TASK_PENDING)
       return &job->tasks[job->cursor++];
+  job->wants_release = job->released < job->n_tasks;
   return NULL;
 }
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -10,7 +10,6 @@
 #define HZB_KEY_JOBS "hzb/a/jobs/main/"
 #define HZB_KEY_PROGRESS "hzb/x/progress/main/"
 #define HZB_CHUNK 32768u
-#define HZB_RELEASE_STEP 4096u
 
 typedef struct _HzbMachine HzbMachine;
 typedef struct _HzbJob HzbJob;
@@ -84,6 +83,7 @@
   guint released, releasing; /* tasks below may have been started: durable, and asked for */
   gboolean dirty, ending;    /* progress to be written; end being written */
   gboolean on_pages;         /* of the holder's records */
+  gboolean wants_release;    /* a machine could take more of it than is released */
   gboolean guaranteed, told_lessees;
   guint8 class; /* of waiting work, see hzb_dispatch_classes() */
   guint64 next_attempt;
@@ -123,7 +123,9 @@
 void hzb_job_read_progress (HzbJobs *jobs, HzbJob *job, guint chunk, const cJSON *value);
 cJSON *hzb_job_pack_progress (const HzbJob *job, guint chunk);
 guint hzb_job_chunks (const HzbJob *job);
-void hzb_jobs_resolve_unknown (HzbJobs *jobs); /* every machine has answered or is gone */
+/* Every machine that might hold them has answered or is gone: unknown tasks of a leader before us (0), or of the block
+ * of a lessee that was taken back (1 and up), wait again. */
+void hzb_jobs_resolve_unknown (HzbJobs *jobs, guint lessee);
 gboolean hzb_jobs_any_unknown (HzbJobs *jobs);
 
 gboolean hzb_task_set_state (HzbJobs *jobs, HzbTask *task, HzbTaskState to, HzbMachine *machine);
--- a/src/lease.c
+++ b/src/lease.c
@@ -190,6 +190,7 @@
       if (m->state != HZB_MACHINE_LENT || m->lessee != lessee->id)
         continue;
       hzb_machine_unhear (c->machines, m, token, why);
+      m->suspect = lessee->id;
       machines++;
     }
   for (guint i = 0; i < c->jobs->active->len; i++)
@@ -235,8 +236,8 @@
   if (!c->lease_blocks)
     return NULL;
   if ((machine->state != HZB_MACHINE_BOOTING && machine->state != HZB_MACHINE_ACTIVE) || machine->tasks->len
-      || hzb_machine_listed (machine) || !machine->type || machine->wanted_back || machine->spare
-      || c->hold != HZB_HOLD_FULL || gang_waits (c))
+      || hzb_machine_listed (machine) || !machine->type || machine->wanted_back || machine->spare || machine->deaf || !machine->vouched
+      || c->hold < HZB_HOLD_RECOVERING || gang_waits (c))
     return NULL;
   for (guint i = 0; i < c->machines->all->len; i++)
     {
@@ -383,6 +384,8 @@
     {
       HzbJob *job = order->pdata[i];
       gboolean holds = block_holds (c, lessee, job->spec);
+      if (holds && job->cursor >= job->released)
+        job->wants_release = TRUE;
       for (guint k = 0; holds && (job->pending || job->listed) && k < job->released && n < MOST_PER_ANSWER; k++)
         {
           HzbTask *task = &job->tasks[k];
@@ -415,7 +418,7 @@
 static HzbTask *
 find_task (HzbController *c, const char *uid, int index)
 {
-  HzbJob *job = hzb_jobs_find (c->jobs, uid);
+  HzbJob *job = uid ? hzb_jobs_find (c->jobs, uid) : NULL;
   return job && job->tasks && index >= 0 && (guint) index < job->n_tasks ? &job->tasks[index] : NULL;
 }
 
@@ -466,12 +469,34 @@
     }
 }
 
+/* A machine that comes back with tasks: they are on it or nowhere, so nothing but its next report, or its end, is
+ * waited for. */
 static void
-task_lost (HzbLeases *leases, HzbTask *task, gpointer user)
+take_machine_back (HzbLeases *leases, Lessee *lessee, HzbMachine *m, const cJSON *event)
 {
-  Lessee *lessee = user;
-  if (task->state == HZB_TASK_GRANTED && task->lessee == lessee->id)
-    hzb_task_set_state (leases->c->jobs, task, HZB_TASK_UNKNOWN, NULL);
+  HzbController *c = leases->c;
+  const cJSON *item;
+
+  hzb_machine_unhear (c->machines, m, hzb_leases_next_token (leases), hzb_json_text (event, "why"));
+  m->suspect = HZB_SUSPECT_OF_OWN;
+  m->idle_since = hzb_clock_now (c->clock);
+  if (cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (event, "sick")))
+    m->wanted_back = TRUE;
+  /* The lessee's reports were newer than any copy of one that may still come here. */
+  if (hzb_json_u64 (event, "session") >= m->session)
+    {
+      m->seq = hzb_json_u64 (event, "session") > m->session ? hzb_json_u64 (event, "seq") : MAX (m->seq, hzb_json_u64 (event, "seq"));
+      m->session = hzb_json_u64 (event, "session");
+    }
+  cJSON_ArrayForEach (item, cJSON_GetObjectItemCaseSensitive (event, "lost"))
+    {
+      HzbTask *task = find_task (c, hzb_json_text (item, "job"), (int) hzb_json_number (item, "task", -1));
+      if (!task || task->state != HZB_TASK_GRANTED || task->lessee != lessee->id)
+        continue;
+      task->attempt = hzb_json_u64 (item, "attempt");
+      task->lessee = 0;
+      hzb_task_set_state (c->jobs, task, HZB_TASK_STARTING, m);
+    }
 }
 
 static void
@@ -486,14 +511,8 @@
   if (name)
     {
       HzbMachine *m = hzb_machines_find (c->machines, name);
-      each_task (leases, cJSON_GetObjectItemCaseSensitive (event, "lost"), task_lost, lessee);
       if (m && m->state == HZB_MACHINE_LENT && m->lessee == lessee->id)
-        {
-          hzb_machine_unhear (c->machines, m, hzb_leases_next_token (leases), hzb_json_text (event, "why"));
-          m->idle_since = hzb_clock_now (c->clock);
-          if (cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (event, "sick")))
-            m->wanted_back = TRUE;
-        }
+        take_machine_back (leases, lessee, m, event);
     }
 }
 
@@ -651,7 +670,9 @@
   cJSON_AddStringToObject (body, "machine", m->name);
   cJSON_AddStringToObject (body, "why", why);
   cJSON_AddBoolToObject (body, "sick", m->wanted_back && !m->asked_back);
-  lost = cJSON_AddObjectToObject (body, "lost");
+  hzb_json_add_u64 (body, "session", m->session);
+  hzb_json_add_u64 (body, "seq", m->seq);
+  lost = cJSON_AddArrayToObject (body, "lost");
   hzb_machine_empty_lists (c->jobs, m);
   while (m->tasks->len)
     {
@@ -661,7 +682,11 @@
         hzb_task_set_state (c->jobs, task, HZB_TASK_PENDING, NULL);
       else
         {
-          add_task (lost, task);
+          cJSON *item = cJSON_CreateObject ();
+          cJSON_AddStringToObject (item, "job", task->job->uid);
+          cJSON_AddNumberToObject (item, "task", task->index);
+          hzb_json_add_u64 (item, "attempt", task->attempt);
+          cJSON_AddItemToArray (lost, item);
           hzb_task_set_state (c->jobs, task, HZB_TASK_ELSEWHERE, NULL);
         }
       g_return_if_fail (m->tasks->len < before);
@@ -726,8 +751,8 @@
       HzbMachine *m = hzb_machines_add (c->machines, name, hzb_json_text (batch, "addr"), hzb_json_text (batch, "type"),
                                         hzb_json_text (batch, "zone"),
                                         cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (batch, "spot")), HZB_MACHINE_BOOTING);
-      m->recorded = TRUE;
-      m->token = leases->token;
+      m->recorded = m->vouched = TRUE;
+      hzb_machine_set_token (m, leases->token);
       m->session = hzb_json_u64 (batch, "session");
       m->seq = hzb_json_u64 (batch, "seq");
       m->heard = hzb_clock_now (c->clock);
@@ -749,8 +774,7 @@
   for (guint i = 0; i < c->machines->all->len; i++)
     {
       HzbMachine *m = c->machines->all->pdata[i];
-      m->token = token;
-      m->confirmed = FALSE;
+      hzb_machine_set_token (m, token);
     }
 }
 
@@ -900,6 +924,8 @@
       double quiet = hzb_time_between (m->heard, now);
       if (quiet > 3 * c->settings->report_s)
         hzb_leases_give_machine (leases, m, "it is silent");
+      else if (m->deaf)
+        hzb_leases_give_machine (leases, m, "it does not seem to hear its answers");
       else if (m->wanted_back && m->tasks->len == 0)
         hzb_leases_give_machine (leases, m, "it fails what it starts");
       else if (m->asked_back && m->tasks->len == 0)
--- a/src/machines.c
+++ b/src/machines.c
@@ -143,10 +143,26 @@
 }
 
 void
-hzb_machine_unhear (HzbMachines *machines, HzbMachine *machine, guint64 token, const char *why)
+hzb_machine_set_token (HzbMachine *machine, guint64 token)
+{
+  machine->token = machine->own_token = token;
+  machine->confirmed = machine->deaf = FALSE;
+  machine->unobeyed = 0;
+}
+
+void
+hzb_machine_doubt (HzbMachine *machine, guint64 token, struct timespec now)
 {
+  g_message ("machine %s does not seem to hear its answers", machine->name);
   machine->token = token;
-  machine->confirmed = FALSE;
+  machine->deaf = TRUE;
+  machine->deaf_since = now;
+}
+
+void
+hzb_machine_unhear (HzbMachines *machines, HzbMachine *machine, guint64 token, const char *why)
+{
+  hzb_machine_set_token (machine, token);
   machine->asked_back = FALSE;
   machine->lessee = 0;
   hzb_machine_set_state (machines, machine, HZB_MACHINE_UNHEARD, why);
@@ -216,7 +232,7 @@
 gboolean
 hzb_machine_usable (const HzbMachine *m)
 {
-  return m->state == HZB_MACHINE_ACTIVE && m->recorded && m->type && !m->wanted_back && !m->spare;
+  return m->state == HZB_MACHINE_ACTIVE && m->recorded && m->vouched && m->type && !m->wanted_back && !m->spare && !m->deaf;
 }
 
 gboolean
@@ -287,12 +303,13 @@
 }
 
 gboolean
-hzb_machines_all_heard (const HzbMachines *machines)
+hzb_machines_all_heard (const HzbMachines *machines, guint suspect)
 {
   for (guint i = 0; i < machines->all->len; i++)
     {
       const HzbMachine *m = machines->all->pdata[i];
-      if (m->state == HZB_MACHINE_UNHEARD || (m->state == HZB_MACHINE_RETURNING && !m->confirmed && m->recorded))
+      if (m->suspect == suspect
+          && (m->state == HZB_MACHINE_UNHEARD || (m->state == HZB_MACHINE_RETURNING && !m->confirmed && m->recorded)))
         return FALSE;
     }
   return TRUE;
--- a/src/machines.h
+++ b/src/machines.h
@@ -22,6 +22,11 @@
 /* Classes of waiting work, the highest served first. See hzb_dispatch_classes(). */
 #define HZB_N_CLASSES 8
 
+/* Until it has answered, an unheard machine may hold tasks of its own only, of the block of a lessee (1 and up) that
+ * was taken back, or of an earlier leader. */
+#define HZB_SUSPECT_OF_LEADER 0u
+#define HZB_SUSPECT_OF_OWN 255u
+
 struct _HzbMachine
 {
   char *name, *addr;
@@ -30,12 +35,19 @@
   gboolean spot;
   HzbMachineState state; /* changed by hzb_machine_set_state() only */
   guint64 session, seq;
-  guint64 token;  /* the one under which it is answered, and has to have answered */
+  guint64 token;  /* the one under which it is answered */
+  guint64 own_token; /* from this one on nobody but this holder has given it orders: what it reports under it is all */
+  guint64 over_session; /* this session has ended for certain: what still comes of it is late */
   guint8 lessee;  /* 1 and up: whom it is lent to */
+  guint8 suspect; /* while unheard: the block whose unknown tasks may be on it, or HZB_SUSPECT_… */
   gboolean asked_back, lend_sent;
   struct timespec rented; /* or, of a machine found in the records, first known */
   struct timespec since, answered, heard, idle_since, notice_at;
   gboolean confirmed; /* a report sent under our token has come */
+  gboolean vouched;   /* rented by us, on record, or in the cloud's list: a report alone may be a copy of one long gone */
+  guint unobeyed;     /* reports in a row that show none of the starts that they should */
+  gboolean deaf;      /* answers do not seem to reach it; it takes no work until it shows the token raised since */
+  struct timespec deaf_since;
   gboolean recorded, recording;
   guint page; /* of the holder's records; 0: none */
   gboolean wanted_back, drain; /* drain: by an operator */
@@ -72,7 +84,10 @@
                               const char *zone, gboolean spot, HzbMachineState state);
 void hzb_machines_remove (HzbMachines *machines, HzbMachine *machine); /* it must be gone */
 gboolean hzb_machine_set_state (HzbMachines *machines, HzbMachine *machine, HzbMachineState to, const char *why);
+/* Answers do not seem to reach it: it has to show that it has seen a token that was not used before. */
+void hzb_machine_doubt (HzbMachine *machine, guint64 token, struct timespec now);
 /* From now on it is answered under this token, and nothing is known of it until it has reported under it. */
+void hzb_machine_set_token (HzbMachine *machine, guint64 token);
 void hzb_machine_unhear (HzbMachines *machines, HzbMachine *machine, guint64 token, const char *why);
 const char *hzb_machine_state_name (HzbMachineState state);
 const char *hzb_machine_name (const HzbMachine *machine);
@@ -93,5 +108,5 @@
 /* Its tasks are gone for certain: they go back to waiting. Its list is emptied too. */
 void hzb_machine_lose_tasks (HzbJobs *jobs, HzbMachine *machine);
 void hzb_machine_empty_lists (HzbJobs *jobs, HzbMachine *machine);
-/* Every machine has answered under our token or is gone. */
-gboolean hzb_machines_all_heard (const HzbMachines *machines);
+/* Every machine that may hold unknown tasks of this block has answered under our token or is gone. */
+gboolean hzb_machines_all_heard (const HzbMachines *machines, guint suspect);
--- a/src/records.c
+++ b/src/records.c
@@ -15,6 +15,7 @@
 #define CLEAN_EVERY_S 3.0
 #define PAGE_BYTES 12000u /* and less where values have to be smaller */
 #define TXN_BYTES 52000u
+#define RELEASE_STEP 64u
 
 /* A job's part on a page: HZB_CHUNK of its tasks, all of them for most jobs. */
 typedef struct
@@ -248,7 +249,7 @@
     return;
   m = hzb_machines_add (c->machines, value->string, hzb_json_text (value, "addr"), type, zone,
                         cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (value, "spot")), HZB_MACHINE_UNHEARD);
-  m->recorded = TRUE;
+  m->recorded = m->vouched = TRUE;
   m->drain = m->wanted_back = cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (value, "drain"));
   if (age > 1)
     m->rented = hzb_time_plus (m->rented, -(age - 1)); /* times of day differ a little */
@@ -433,11 +434,17 @@
   r->flushing = FALSE;
 }
 
+/* Little is released ahead: what is, has to be accounted for by every machine after a change of leader. */
+static guint
+release_step (const HzbJob *job)
+{
+  return job->spec->gang ? job->n_tasks : MAX (RELEASE_STEP, job->n_tasks / 32);
+}
+
 static gboolean
 wants_release (const HzbJob *job)
 {
-  return job->state == HZB_JOB_ACCEPTED && job->releasing < job->n_tasks
-         && job->cursor + HZB_RELEASE_STEP / 4 >= job->releasing;
+  return job->state == HZB_JOB_ACCEPTED && job->wants_release && job->releasing < job->n_tasks;
 }
 
 static cJSON *
@@ -452,7 +459,8 @@
       g_autofree char *name = g_strdup_printf ("%s/%u", job->uid, part->chunk);
       guint first = part->chunk * HZB_CHUNK;
       if (wants_release (job))
-        job->releasing = MIN (job->n_tasks, job->releasing + HZB_RELEASE_STEP);
+        job->releasing = MIN (job->n_tasks, job->releasing + release_step (job));
+      job->wants_release = FALSE;
       fp->uid = g_strdup (job->uid);
       fp->releasing = job->releasing;
       fp->finished = g_array_new (FALSE, FALSE, sizeof (guint));
