--- a/src/api.c
+++ b/src/api.c
@@ -118,9 +118,7 @@
   else if (!job->tasks || api->c->jobs->lessee)
     {
       /* Only for display: what the holder last told its peers. */
-      guint64 seen = GPOINTER_TO_SIZE (g_hash_table_lookup (api->c->display, job->uid));
-      done = (guint) (seen >> 24);
-      running = (guint) (seen & 0xffffff);
+      hzb_peers_display (api->c->peers, job->uid, &done, &running);
       text = running ? "running" : "queued";
     }
   hzb_exchange_reply (exchange, status, hzb_wire_job_status (job->uid, text, counts, done, running), 0);
@@ -302,6 +300,11 @@
 {
   Check *check;
 
+  if (hzb_controller_store_silent (api->c))
+    {
+      unable (exchange, "the state service does not answer");
+      return;
+    }
   if (api->checks.length + api->syncs.length >= MOST_CHECKS)
     {
       hzb_exchange_reply (exchange, ask == ASK_SUBMITTED ? 429 : 503, hzb_wire_error ("too much is asked at once"), 2);
@@ -556,7 +559,7 @@
         add_check (api, exchange, spec->uid, ASK_SUBMITTED, NULL);
       return;
     }
-  if (!hzb_controller_ready (c) || !c->machines->types)
+  if (!hzb_controller_ready (c) || !c->machines->types || hzb_controller_store_silent (c))
     {
       unable (exchange, "not ready yet");
       return;
--- a/src/controller.c
+++ b/src/controller.c
@@ -164,31 +164,11 @@
          && hzb_time_between (c->mirror_fresh, hzb_clock_now (c->clock)) < WATCH_MS / 1000.0 + 2;
 }
 
-/* A peer that the state service serves says that an outage is ours alone. */
-static gboolean
-peer_is_served (HzbController *c)
-{
-  struct timespec now = hzb_clock_now (c->clock);
-  for (guint i = 0; i < c->peers->len; i++)
-    {
-      const HzbPeerView *view = &g_array_index (c->peers, HzbPeerView, i);
-      if (hzb_time_is_set (view->heard) && hzb_time_between (view->heard, now) < 3 && view->store_silence < 2.5)
-        return TRUE;
-    }
-  return FALSE;
-}
-
-static gboolean
-any_peer_heard (HzbController *c)
+/* It has not answered for longer than a watch takes: what has to be asked there is better refused at once. */
+gboolean
+hzb_controller_store_silent (HzbController *c)
 {
-  struct timespec now = hzb_clock_now (c->clock);
-  for (guint i = 0; i < c->peers->len; i++)
-    {
-      const HzbPeerView *view = &g_array_index (c->peers, HzbPeerView, i);
-      if (hzb_time_is_set (view->heard) && hzb_time_between (view->heard, now) < 5)
-        return TRUE;
-    }
-  return c->peers->len == 0;
+  return hzb_store_silence (c->store) > WATCH_MS / 1000.0 + 1;
 }
 
 gboolean
@@ -198,8 +178,9 @@
     return FALSE;
   if (!c->machines->types || (c->mirror == HZB_MIRROR_LOADING && !c->revision))
     return FALSE;
-  /* In an outage for all it makes no difference where users ask; alone, another node serves them better. */
-  return hzb_store_silence (c->store) < 3 || !peer_is_served (c);
+  /* In an outage for all it makes no difference where users ask; alone, or cut off from the others as well, another
+   * node serves them better. */
+  return !hzb_controller_store_silent (c) || (hzb_peers_any_heard (c->peers) && !hzb_peers_any_served (c->peers));
 }
 
 /* ---- holding the block ---- */
@@ -736,7 +717,7 @@
 {
   if (c->hold != HZB_HOLD_RECOVERING && !hzb_jobs_any_unknown (c->jobs))
     return;
-  for (guint block = 0; block <= c->peers->len; block++)
+  for (guint block = 0; block <= c->settings->peers->len; block++)
     if (hzb_machines_all_heard (c->machines, block))
       {
         hzb_jobs_resolve_unknown (c->jobs, block);
@@ -784,127 +765,7 @@
   hzb_records_flush_soon (c->records);
 }
 
-/* ---- peers ---- */
-
-static cJSON *
-peer_word (HzbController *c)
-{
-  cJSON *root = cJSON_CreateObject ();
-  double silence = hzb_store_silence (c->store);
-
-  cJSON_AddStringToObject (root, "node", c->settings->node);
-  cJSON_AddBoolToObject (root, "leads", hzb_election_leading (c->election));
-  /* Also what others told: a holder may reach only nodes that the state service does not reach either. */
-  hzb_json_add_u64 (root, "term", MAX (hzb_election_leader_term (c->election), c->heard_term));
-  cJSON_AddNumberToObject (root, "storeSilenceS", MIN (silence, 1e6));
-  if (c->hold >= HZB_HOLD_RECOVERING)
-    {
-      cJSON *list = cJSON_AddObjectToObject (root, "jobs");
-      for (guint i = 0; i < MIN (c->jobs->active->len, 200); i++)
-        {
-          const HzbJob *job = c->jobs->active->pdata[i];
-          int counts[2] = { (int) (job->done + job->finished), (int) (job->running + job->lent_running) };
-          if (counts[0] || counts[1])
-            cJSON_AddItemToObject (list, job->uid, cJSON_CreateIntArray (counts, 2));
-        }
-    }
-  return root;
-}
-
-static void
-take_peer_word (HzbController *c, HzbPeerView *view, const cJSON *root)
-{
-  const cJSON *item;
-  view->heard = hzb_clock_now (c->clock);
-  view->store_silence = hzb_json_number (root, "storeSilenceS", 1e6);
-  view->term = hzb_json_u64 (root, "term");
-  view->leads = cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (root, "leads"));
-  if (view->leads)
-    {
-      g_hash_table_remove_all (c->display);
-      cJSON_ArrayForEach (item, cJSON_GetObjectItemCaseSensitive (root, "jobs"))
-        {
-          const cJSON *done = cJSON_GetArrayItem (item, 0), *running = cJSON_GetArrayItem (item, 1);
-          if (done && running)
-            g_hash_table_insert (c->display, g_strdup (item->string),
-                                 GSIZE_TO_POINTER (((gsize) done->valueint << 24) | (gsize) running->valueint));
-        }
-    }
-  c->heard_term = MAX (c->heard_term, view->term);
-  /* A holder that the state service does not reach learns here that it has been replaced. */
-  if (view->term > hzb_election_term (c->election))
-    hzb_election_step_down (c->election, "a peer knows a newer term");
-}
-
-typedef struct
-{
-  HzbController *c;
-  guint at;
-} PeerCall;
-
-static void
-on_peer (guint status, const char *body, gsize length, gpointer user)
-{
-  g_autofree PeerCall *call = user;
-  HzbPeerView *view = &g_array_index (call->c->peers, HzbPeerView, call->at);
-  cJSON *root = status == 200 ? cJSON_ParseWithLength (body, length) : NULL;
-
-  view->asking = FALSE;
-  if (root)
-    take_peer_word (call->c, view, root);
-  cJSON_Delete (root);
-}
-
-static void
-ask_peers (HzbController *c)
-{
-  for (guint i = 0; i < c->peers->len; i++)
-    {
-      HzbPeerView *view = &g_array_index (c->peers, HzbPeerView, i);
-      PeerCall *call;
-      cJSON *root;
-      if (view->asking)
-        continue;
-      view->asking = TRUE;
-      call = g_new0 (PeerCall, 1);
-      call->c = c;
-      call->at = i;
-      root = peer_word (c);
-      hzb_send (c->transport, "POST", view->peer->address, "/peer/v1/word", cJSON_PrintUnformatted (root), 1500, on_peer, call);
-      cJSON_Delete (root);
-    }
-}
-
-void
-hzb_controller_peer_request (HzbExchange *exchange, gpointer user)
-{
-  HzbController *c = user;
-  cJSON *root = cJSON_ParseWithLength (exchange->body, exchange->length);
-  const char *node = hzb_json_text (root, "node");
-  cJSON *word = NULL;
-
-  if (g_str_equal (exchange->path, "/peer/v1/block"))
-    {
-      hzb_leases_request (c->leases, exchange, root);
-      cJSON_Delete (root);
-      return;
-    }
-  for (guint i = 0; node && i < c->peers->len; i++)
-    {
-      HzbPeerView *view = &g_array_index (c->peers, HzbPeerView, i);
-      if (g_str_equal (view->peer->node, node))
-        {
-          take_peer_word (c, view, root);
-          word = peer_word (c);
-        }
-    }
-  if (word)
-    hzb_exchange_reply (exchange, 200, cJSON_PrintUnformatted (word), 0);
-  else
-    hzb_exchange_reply (exchange, 400, hzb_wire_error ("not a word of a peer"), 0);
-  cJSON_Delete (word);
-  cJSON_Delete (root);
-}
+/* ---- standing ---- */
 
 /* Guards against a leader that only the workers can't reach: they are sent back to it by all others, until every
  * lease is over and all work is lost. That all machines should fall silent together for any other reason is rare,
@@ -936,7 +797,7 @@
 {
   double silence = hzb_store_silence (c->store);
 
-  if (hzb_election_leading (c->election) && silence < 2.5 && any_peer_heard (c) && c->peers->len && hears_nobody (c))
+  if (hzb_election_leading (c->election) && silence < 2.5 && hzb_peers_any_heard (c->peers) && c->settings->peers->len && hears_nobody (c))
     {
       hzb_election_step_down (c->election, "no worker is heard any more, while all else can be reached");
       hzb_election_stand_back (c->election, 20);
@@ -944,9 +805,9 @@
     }
   if (!hzb_election_leading (c->election) || silence < 5)
     return;
-  if (peer_is_served (c))
+  if (hzb_peers_any_served (c->peers))
     hzb_election_step_down (c->election, "the state service refuses this node alone");
-  else if (silence > 9 && !any_peer_heard (c))
+  else if (!hzb_peers_any_heard (c->peers))
     hzb_election_step_down (c->election, "neither the state service nor a peer can be reached");
 }
 
@@ -990,11 +851,7 @@
       c->asking_types = TRUE;
       hzb_cloud_types (c->cloud, on_types, c);
     }
-  if (!hzb_time_before (now, c->next_peers))
-    {
-      c->next_peers = hzb_time_plus (now, 1);
-      ask_peers (c);
-    }
+  hzb_peers_tick (c->peers, now);
   hzb_api_tick (c->api);
 }
 
@@ -1065,20 +922,14 @@
   c->dispatch = hzb_dispatch_new (c->jobs, c->machines, settings, c->rand);
   c->fleet = hzb_fleet_new (c->jobs, c->machines, settings);
   c->api = hzb_api_new (c);
+  c->peers = hzb_peers_new (c);
   c->leases = hzb_leases_new (c);
   c->metrics = hzb_metrics_new ();
   c->lease_blocks = TRUE;
   c->incarnation = g_strdup_printf ("%08x%08x", g_rand_int (c->rand), g_rand_int (c->rand));
-  c->display = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   c->listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   c->gone = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   c->records = hzb_records_new (c);
-  c->peers = g_array_new (FALSE, TRUE, sizeof (HzbPeerView));
-  for (guint i = 0; i < settings->peers->len; i++)
-    {
-      HzbPeerView view = { .peer = settings->peers->pdata[i], .store_silence = 1e6 };
-      g_array_append_val (c->peers, view);
-    }
   return c;
 }
 
@@ -1087,6 +938,7 @@
 {
   hzb_api_free (c->api);
   hzb_leases_free (c->leases);
+  hzb_peers_free (c->peers);
   hzb_records_free (c->records);
   hzb_metrics_free (c->metrics);
   g_free (c->incarnation);
@@ -1100,10 +952,8 @@
   hzb_election_free (c->election);
   hzb_cloud_free (c->cloud);
   hzb_store_free (c->store);
-  g_hash_table_unref (c->display);
   g_hash_table_unref (c->gone);
   g_hash_table_unref (c->listed);
-  g_array_unref (c->peers);
   g_free (c->load_after);
   g_free (c->hold_after);
   g_free (c->list_after);
--- a/src/controller.h
+++ b/src/controller.h
@@ -33,19 +33,10 @@
   HZB_HOLD_FULL
 } HzbHoldState;
 
-typedef struct
-{
-  const HzbPeer *peer;
-  gboolean asking;
-  struct timespec heard;
-  double store_silence;
-  guint64 term;
-  gboolean leads;
-} HzbPeerView;
-
 typedef struct _HzbApi HzbApi;
 typedef struct _HzbLeases HzbLeases;
 typedef struct _HzbRecords HzbRecords;
+typedef struct _HzbPeers HzbPeers;
 
 typedef struct
 {
@@ -68,9 +59,7 @@
   guint64 settings_version; /* of the operators' settings */
   gboolean lease_blocks;
   char *incarnation;
-  GArray *peers; /* HzbPeerView */
-  guint64 heard_term; /* the highest that a peer knew of */
-  GHashTable *display; /* uid -> (done, running), by the holder's last word */
+  HzbPeers *peers;
 
   HzbMirrorState mirror;
   guint64 revision, load_revision;
@@ -89,15 +78,15 @@
   GHashTable *listed; /* names in the pages read so far */
   struct timespec list_began;
   struct timespec last_tick; /* the timer's */
-  struct timespec hold_since, next_list, next_types, next_plan, next_peers, next_return, next_dispatch, next_summary;
+  struct timespec hold_since, next_list, next_types, next_plan, next_return, next_dispatch, next_summary;
 } HzbController;
 
 HzbController *hzb_controller_new (HzbSettings *settings, HzbClock *clock, HzbTransport *transport, guint32 seed);
 void hzb_controller_free (HzbController *c);
 void hzb_controller_tick (HzbController *c);
 void hzb_controller_request (HzbExchange *exchange, gpointer controller);      /* users and workers */
-void hzb_controller_peer_request (HzbExchange *exchange, gpointer controller); /* other controllers */
 gboolean hzb_controller_ready (HzbController *c);
+gboolean hzb_controller_store_silent (HzbController *c);
 /* Brings the mirror up to this moment; FALSE: it could not be. */
 typedef void (*HzbSyncFunc) (gboolean fresh, gpointer user);
 void hzb_controller_sync (HzbController *c, HzbSyncFunc done, gpointer user);
@@ -123,6 +112,23 @@
 void hzb_records_drop_job (HzbRecords *records, HzbJob *job);
 void hzb_records_drop_machine (HzbRecords *records, HzbMachine *machine);
 
+/* peers.c: what the controllers tell each other */
+typedef enum
+{
+  HZB_PEER_WORD,
+  HZB_PEER_BLOCK,
+  HZB_PEER_N_KINDS
+} HzbPeerKind;
+
+HzbPeers *hzb_peers_new (HzbController *c);
+void hzb_peers_free (HzbPeers *peers);
+void hzb_peers_tick (HzbPeers *peers, struct timespec now);
+gboolean hzb_peers_any_heard (HzbPeers *peers);  /* lately; or there are none */
+gboolean hzb_peers_any_served (HzbPeers *peers); /* by the state service: an outage is ours alone */
+void hzb_peers_display (HzbPeers *peers, const char *uid, guint *done, guint *running);
+cJSON *hzb_peers_message (HzbPeers *peers, HzbPeerKind kind); /* says who sends it, and which one it is */
+void hzb_controller_peer_request (HzbExchange *exchange, gpointer controller);
+
 /* gateway.c */
 void hzb_gateway_report (HzbController *c, HzbExchange *exchange);
 
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -7,6 +7,10 @@
 #define PREEMPTIBLE_PART 0.3
 #define NEARLY_DONE_S 5.0
 #define FETCH_WEIGHT 2.0
+/* Where the least goes first, the largest would wait for as long as smaller ones keep coming. Users want the largest
+ * to begin within four minutes: after half of that the first task of any job goes before all but urgent work. */
+#define BEGIN_BY_S 120.0
+#define BEGIN_CLASS 5u
 
 HzbDispatch *
 hzb_dispatch_new (HzbJobs *jobs, HzbMachines *machines, const HzbSettings *settings, GRand *rand)
@@ -280,6 +284,10 @@
       gpus[job->team] += job->spec->gpus * job->n_tasks;
       job->guaranteed = cpus[job->team] <= team->cpus + 1e-6 && gpus[job->team] <= team->gpus + 1e-6;
       class = class_of (d->settings, job, now);
+      job->begin_due = !(job->placed || job->finished || job->done || job->unknown || job->spec->gang)
+                       && hzb_time_between (job->since, now) > BEGIN_BY_S;
+      if (job->begin_due)
+        class = MAX (class, BEGIN_CLASS);
       if (class != job->class)
         {
           /* What waits in lists goes through them anew. */
@@ -291,6 +299,13 @@
     }
 }
 
+/* Of a job that has to begin only one task goes first. */
+static gboolean
+has_its_one (const HzbJob *job)
+{
+  return job->begin_due && (job->listed || job->placed);
+}
+
 static double
 work_left (const HzbJob *job)
 {
@@ -475,6 +490,19 @@
     }
 }
 
+/* Some machine of any block could take it. */
+static gboolean
+has_machine (HzbDispatch *d, const HzbSpec *spec)
+{
+  for (guint i = 0; i < d->machines->all->len; i++)
+    {
+      const HzbMachine *m = d->machines->all->pdata[i];
+      if ((m->state == HZB_MACHINE_LENT || hzb_machine_usable (m)) && hzb_machine_allowed (m, spec))
+        return TRUE;
+    }
+  return FALSE;
+}
+
 void
 hzb_dispatch_run (HzbDispatch *d, struct timespec now)
 {
@@ -496,15 +524,18 @@
   for (guint i = 0; i < d->jobs->active->len; i++)
     {
       HzbJob *job = d->jobs->active->pdata[i];
-      guint at;
+      guint at, waiting;
       if (job->state != HZB_JOB_ACCEPTED || !(job->pending || job->listed))
         continue;
       g_ptr_array_add (order, job);
-      if (hzb_time_before (now, job->not_before) || job->failures)
-        continue; /* what can't start now keeps nothing from others */
+      /* What can't start now keeps nothing from others: they would wait for it, and it perhaps for a machine that is
+       * rented only once their work is over. */
+      if (hzb_time_before (now, job->not_before) || job->failures || !has_machine (d, job->spec))
+        continue;
       at = (guint) job->team * HZB_N_CLASSES + job->class;
-      d->ahead_cpus[at] += (job->pending + job->listed) * job->spec->cpus;
-      d->ahead_gpus[at] += (job->pending + job->listed) * job->spec->gpus;
+      waiting = job->begin_due ? 1 : job->pending + job->listed;
+      d->ahead_cpus[at] += waiting * job->spec->cpus;
+      d->ahead_gpus[at] += waiting * job->spec->gpus;
     }
   g_ptr_array_sort (order, hzb_dispatch_order);
   for (guint i = 0; i < order->len && budget; i++)
@@ -529,7 +560,7 @@
       while (budget && hzb_block_fits (block, job->team, cpus[job->team] + spec->cpus, gpus[job->team] + spec->gpus))
         {
           HzbTask *task;
-          HzbMachine *m = hzb_dispatch_choose (d, job, now);
+          HzbMachine *m = has_its_one (job) ? NULL : hzb_dispatch_choose (d, job, now);
           /* No machine, or even the least loaded has work for a while: it waits here, where what comes later and is
            * more pressing can still go first. Only what a machine could take is asked for, and so released. */
           if (!m || listed_s (m, job->class) > d->list_ahead_s || !(task = hzb_job_next_pending (job, now)))
@@ -652,7 +683,7 @@
         HzbTask *task;
         if (cached && !g_hash_table_contains (m->images, job->spec->image))
           continue;
-        while (hzb_machine_has_room (m, job->spec) && (task = hzb_job_next_pending (job, now)))
+        while (!has_its_one (job) && hzb_machine_has_room (m, job->spec) && (task = hzb_job_next_pending (job, now)))
           {
             if (!startable (d, task, m))
               {
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -207,13 +207,11 @@
 }
 
 /* Guards against a machine whose reports arrive while no answer reaches it: that a report came, and was answered, does
- * not show that the answer did. What shows it is that the starts of the last answer are there. */
+ * not show that the answer did. It has to show a token that was not used before, until then it gets no work. */
 static void
-judge_hearing (HzbController *c, HzbMachine *m, guint starts, guint missing, struct timespec now)
+doubt (HzbController *c, HzbMachine *m, struct timespec now)
 {
-  if (starts)
-    m->unobeyed = missing < starts ? 0 : m->unobeyed + 1;
-  if (m->unobeyed < DEAF_AFTER || m->deaf)
+  if (m->deaf)
     return;
   if (c->hold == HZB_HOLD_LEASED)
     m->deaf = TRUE; /* it goes back to the leader, who can raise its token */
@@ -246,7 +244,8 @@
       else
         hzb_task_set_state (c->jobs, task, HZB_TASK_PENDING, NULL);
     }
-  judge_hearing (c, m, starts, missing, now);
+  if (starts)
+    m->unobeyed = missing < starts ? 0 : m->unobeyed + 1;
   if (m->tasks->len)
     m->idle_since = now;
   if (report->notice_s >= 0)
@@ -382,10 +381,9 @@
     }
   if (report->session > m->session && m->session && m->confirmed)
     {
-      /* Its lease ended, and with it all its tasks; although it was answered all the time, it may be. */
-      if (hzb_time_between (m->answered, now) < c->settings->lease_s - 2 * c->settings->report_s)
-        m->unobeyed = DEAF_AFTER;
+      /* Its lease ended, and with it all its tasks; perhaps although every report was answered. */
       hzb_machine_lose_tasks (c->jobs, m);
+      doubt (c, m, now);
     }
   m->session = report->session;
   m->seq = report->seq;
@@ -404,8 +402,12 @@
     {
       take_report (c, m, report, now, orders);
       /* Starts only while nobody else can have been elected, or the lease is good; see docs/safety.md. */
-      if (leads ? hzb_election_proven (c->election) : hzb_leases_valid (c->leases))
+      if (m->unobeyed < DEAF_AFTER && (leads ? hzb_election_proven (c->election) : hzb_leases_valid (c->leases)))
         hzb_dispatch_fill (c->dispatch, m, now, orders);
     }
+  else if (m->state == HZB_MACHINE_ACTIVE)
+    m->unobeyed++; /* it has not seen the token that it was answered under */
+  if (m->unobeyed >= DEAF_AFTER)
+    doubt (c, m, now);
   hzb_exchange_reply (exchange, 200, hzb_wire_orders (m->token, orders), 0);
 }
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -25,6 +25,7 @@
 {
   HzbJob *job = data;
   drop_holding (job);
+  g_slist_free (job->acceptances);
   hzb_spec_free (job->spec);
   g_free (job->uid);
   g_free (job);
@@ -138,9 +139,9 @@
       return job;
     }
   job->version = version;
-  if (job->acceptance)
-    job->acceptance->open--;
-  job->acceptance = NULL;
+  for (GSList *l = job->acceptances; l; l = l->next)
+    ((HzbAcceptance *) l->data)->open--;
+  g_clear_pointer (&job->acceptances, g_slist_free);
   job->state = g_str_equal (state, "done") ? HZB_JOB_DONE : HZB_JOB_CANCELLED;
   job->n_tasks = (guint) hzb_json_number (value, "n", job->n_tasks);
   if (!job->tasks)
@@ -171,9 +172,11 @@
   cJSON_ArrayForEach (entry, value)
     {
       HzbJob *job = hzb_jobs_apply (jobs, entry->string, entry, 0);
-      if (job && !job->version && !job->acceptance)
+      /* Guards against a job that two nodes have accepted: nodes may see the two records in different order, so
+       * neither goes before the job is over. */
+      if (job && !job->version)
         {
-          job->acceptance = acceptance;
+          job->acceptances = g_slist_prepend (job->acceptances, acceptance);
           acceptance->open++;
         }
     }
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -67,7 +67,7 @@
   char *uid;
   HzbJobState state;
   guint64 version; /* of the record of its end; 0: there is none */
-  HzbAcceptance *acceptance; /* while it is not over */
+  GSList *acceptances; /* while it is not over: all that name it */
   guint n_tasks;
   struct timespec accepted; /* time of day */
   HzbSpec *spec;            /* NULL once over, unless tasks may still be about */
@@ -85,6 +85,7 @@
   gboolean on_pages;         /* of the holder's records */
   gboolean wants_release;    /* a machine could take more of it than is released */
   gboolean guaranteed, told_lessees;
+  gboolean begin_due; /* nothing of it has started for long: its first task goes before others */
   guint8 class; /* of waiting work, see hzb_dispatch_classes() */
   guint64 next_attempt;
   guint failures; /* in a row, without a task of the job doing well */
--- a/src/lease.c
+++ b/src/lease.c
@@ -18,6 +18,7 @@
 #define ASK_S 0.4
 #define ASK_TIMEOUT_MS 1500
 #define MISSED_S 4.0     /* the leader takes a block back when its lessee was silent for so long */
+#define GIVE_UP_S 5.0    /* the lessee lets go when the leader has not answered for so long: it sits on no machines */
 #define STEADY_S 3.0     /* and leases to it again once it has asked for so long */
 #define AHEAD 0.12       /* of a block's CPUs: tasks granted beyond its room, so that no place waits for the next answer */
 #define KEEP_S 6.0       /* an unstarted task goes back to the leader after this */
@@ -55,7 +56,7 @@
   guint64 token, in_number, out_number;
   GQueue out;
   char *leader;
-  struct timespec next_ask, valid_until;
+  struct timespec next_ask, answered, valid_until;
 };
 
 static void
@@ -383,7 +384,7 @@
   for (guint i = 0; i < order->len && room > 0 && n < MOST_PER_ANSWER; i++)
     {
       HzbJob *job = order->pdata[i];
-      gboolean holds = block_holds (c, lessee, job->spec);
+      gboolean holds = block_holds (c, lessee, job->spec) && !(job->begin_due && (job->listed || job->placed));
       if (holds && job->cursor >= job->released)
         job->wants_release = TRUE;
       for (guint k = 0; holds && (job->pending || job->listed) && k < job->released && n < MOST_PER_ANSWER; k++)
@@ -402,6 +403,8 @@
           hzb_dispatch_started (c->dispatch, job);
           room -= MAX (job->spec->cpus, 0.01);
           n++;
+          if (job->begin_due)
+            holds = FALSE; /* only its first task goes before others */
           if (!groups)
             groups = cJSON_CreateObject ();
           add_task (groups, task);
@@ -801,6 +804,7 @@
             }
           else if (c->hold == HZB_HOLD_LEASED && token > leases->token)
             raise_token (leases, token);
+          leases->answered = hzb_clock_now (c->clock);
           leases->valid_until = hzb_time_plus (hzb_clock_now (c->clock), hzb_json_number (root, "leaseS", 0));
           acknowledged (&leases->out, hzb_json_u64 (root, "have"));
           cJSON_ArrayForEach (batch, cJSON_GetObjectItemCaseSensitive (root, "batches"))
@@ -853,9 +857,7 @@
   if (!addr || c->mirror != HZB_MIRROR_FOLLOWING)
     return;
   leases->asking = TRUE;
-  root = cJSON_CreateObject ();
-  cJSON_AddStringToObject (root, "node", c->settings->node);
-  cJSON_AddStringToObject (root, "incarnation", c->incarnation);
+  root = hzb_peers_message (c->peers, HZB_PEER_BLOCK);
   if (c->hold == HZB_HOLD_LEASED)
     {
       hzb_json_add_u64 (root, "token", leases->token);
@@ -957,6 +959,8 @@
     hzb_controller_end_leased (c, "another leads");
   if (c->hold == HZB_HOLD_LEASED && !hzb_leases_valid (leases))
     hzb_controller_end_leased (c, "the lease is over");
+  if (c->hold == HZB_HOLD_LEASED && hzb_time_between (leases->answered, now) > GIVE_UP_S)
+    hzb_controller_end_leased (c, "the leader does not answer");
   if (c->hold == HZB_HOLD_LEASED)
     {
       tend_machines (leases, now);
--- /dev/null
+++ b/src/peers.c
@@ -0,0 +1,266 @@
+/* What the controllers tell each other: once a second how each stands, and whatever goes with leased blocks.
+ *
+ * Copies of old messages may come late, also from a process that has ended since. So each says which process sent it,
+ * when that began, and counts: what is not the newest of its kind is refused, whoever it is from. */
+#include "controller.h"
+
+#include <string.h>
+
+#define MOST_RETIRED 64u
+#define BORN_SLACK_MS 1000u /* times of day differ a little */
+
+typedef struct
+{
+  const HzbPeer *peer;
+  gboolean asking;
+  struct timespec heard;
+  double store_silence;
+  guint64 term;
+  gboolean leads;
+  /* by what it sent of its own accord */
+  char *incarnation;
+  guint64 born, number[HZB_PEER_N_KINDS];
+} View;
+
+struct _HzbPeers
+{
+  HzbController *c;
+  GArray *views;          /* View */
+  GHashTable *retired;    /* incarnations that others have followed */
+  guint64 heard_term;     /* the highest that a peer knew of */
+  GHashTable *display;    /* uid -> (done, running), by the holder's last word */
+  guint64 born, number;
+  struct timespec next;
+};
+
+HzbPeers *
+hzb_peers_new (HzbController *c)
+{
+  HzbPeers *peers = g_new0 (HzbPeers, 1);
+  struct timespec wall = hzb_clock_wall (c->clock);
+  peers->c = c;
+  peers->born = (guint64) wall.tv_sec * 1000 + (guint64) wall.tv_nsec / 1000000;
+  peers->display = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  peers->retired = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  peers->views = g_array_new (FALSE, TRUE, sizeof (View));
+  for (guint i = 0; i < c->settings->peers->len; i++)
+    {
+      View view = { .peer = c->settings->peers->pdata[i], .store_silence = 1e6 };
+      g_array_append_val (peers->views, view);
+    }
+  return peers;
+}
+
+void
+hzb_peers_free (HzbPeers *peers)
+{
+  for (guint i = 0; i < peers->views->len; i++)
+    g_free (g_array_index (peers->views, View, i).incarnation);
+  g_array_unref (peers->views);
+  g_hash_table_unref (peers->display);
+  g_hash_table_unref (peers->retired);
+  g_free (peers);
+}
+
+static double
+silence (HzbPeers *peers, const View *view)
+{
+  return hzb_time_is_set (view->heard) ? hzb_time_between (view->heard, hzb_clock_now (peers->c->clock)) : 1e9;
+}
+
+gboolean
+hzb_peers_any_served (HzbPeers *peers)
+{
+  for (guint i = 0; i < peers->views->len; i++)
+    {
+      const View *view = &g_array_index (peers->views, View, i);
+      if (silence (peers, view) < 3 && view->store_silence < 2.5)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+gboolean
+hzb_peers_any_heard (HzbPeers *peers)
+{
+  for (guint i = 0; i < peers->views->len; i++)
+    if (silence (peers, &g_array_index (peers->views, View, i)) < 5)
+      return TRUE;
+  return peers->views->len == 0;
+}
+
+void
+hzb_peers_display (HzbPeers *peers, const char *uid, guint *done, guint *running)
+{
+  guint64 seen = GPOINTER_TO_SIZE (g_hash_table_lookup (peers->display, uid));
+  *done = (guint) (seen >> 24);
+  *running = (guint) (seen & 0xffffff);
+}
+
+cJSON *
+hzb_peers_message (HzbPeers *peers, HzbPeerKind kind)
+{
+  cJSON *root = cJSON_CreateObject ();
+  cJSON_AddStringToObject (root, "node", peers->c->settings->node);
+  cJSON_AddStringToObject (root, "incarnation", peers->c->incarnation);
+  hzb_json_add_u64 (root, "born", peers->born);
+  hzb_json_add_u64 (root, "number", ++peers->number);
+  return root;
+}
+
+/* NULL: unknown, of an earlier process, or not the newest of its kind. */
+static View *
+sender (HzbPeers *peers, HzbPeerKind kind, const cJSON *root)
+{
+  const char *node = hzb_json_text (root, "node"), *incarnation = hzb_json_text (root, "incarnation");
+  guint64 born = hzb_json_u64 (root, "born"), number = hzb_json_u64 (root, "number");
+  View *view = NULL;
+
+  for (guint i = 0; node && i < peers->views->len; i++)
+    if (g_str_equal (g_array_index (peers->views, View, i).peer->node, node))
+      view = &g_array_index (peers->views, View, i);
+  if (!view || !incarnation || !*incarnation)
+    {
+      g_message ("a peer's message is refused: %s", view ? "it names no process" : "nobody of that name is known");
+      return NULL;
+    }
+  if (g_strcmp0 (view->incarnation, incarnation) != 0)
+    {
+      if (g_hash_table_contains (peers->retired, incarnation) || born + BORN_SLACK_MS < view->born)
+        {
+          g_message ("a message of %s is refused: it is of an earlier process", node);
+          return NULL;
+        }
+      if (g_hash_table_size (peers->retired) >= MOST_RETIRED)
+        g_hash_table_remove_all (peers->retired); /* by now their age tells them */
+      if (view->incarnation)
+        g_hash_table_add (peers->retired, view->incarnation);
+      view->incarnation = g_strdup (incarnation);
+      view->born = MAX (born, view->born);
+      memset (view->number, 0, sizeof view->number);
+    }
+  if (number <= view->number[kind])
+    {
+      g_message ("a message of %s is refused: it comes late", node);
+      return NULL;
+    }
+  view->number[kind] = number;
+  return view;
+}
+
+/* ---- words ---- */
+
+static void
+say_standing (HzbPeers *peers, cJSON *root)
+{
+  HzbController *c = peers->c;
+
+  cJSON_AddBoolToObject (root, "leads", hzb_election_leading (c->election));
+  /* Also what others told: a holder may reach only nodes that the state service does not reach either. */
+  hzb_json_add_u64 (root, "term", MAX (hzb_election_leader_term (c->election), peers->heard_term));
+  cJSON_AddNumberToObject (root, "storeSilenceS", MIN (hzb_store_silence (c->store), 1e6));
+  if (c->hold >= HZB_HOLD_RECOVERING)
+    {
+      cJSON *list = cJSON_AddObjectToObject (root, "jobs");
+      for (guint i = 0; i < MIN (c->jobs->active->len, 200); i++)
+        {
+          const HzbJob *job = c->jobs->active->pdata[i];
+          int counts[2] = { (int) (job->done + job->finished), (int) (job->running + job->lent_running) };
+          if (counts[0] || counts[1])
+            cJSON_AddItemToObject (list, job->uid, cJSON_CreateIntArray (counts, 2));
+        }
+    }
+}
+
+static void
+take_standing (HzbPeers *peers, View *view, const cJSON *root)
+{
+  HzbController *c = peers->c;
+  const cJSON *item;
+  view->heard = hzb_clock_now (c->clock);
+  view->store_silence = hzb_json_number (root, "storeSilenceS", 1e6);
+  view->term = hzb_json_u64 (root, "term");
+  view->leads = cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (root, "leads"));
+  if (view->leads)
+    {
+      g_hash_table_remove_all (peers->display);
+      cJSON_ArrayForEach (item, cJSON_GetObjectItemCaseSensitive (root, "jobs"))
+        {
+          const cJSON *done = cJSON_GetArrayItem (item, 0), *running = cJSON_GetArrayItem (item, 1);
+          if (done && running)
+            g_hash_table_insert (peers->display, g_strdup (item->string),
+                                 GSIZE_TO_POINTER (((gsize) done->valueint << 24) | (gsize) running->valueint));
+        }
+    }
+  peers->heard_term = MAX (peers->heard_term, view->term);
+  /* A holder that the state service does not reach learns here that it has been replaced. */
+  if (view->term > hzb_election_term (c->election))
+    hzb_election_step_down (c->election, "a peer knows a newer term");
+}
+
+typedef struct
+{
+  HzbPeers *peers;
+  guint at;
+} Call;
+
+static void
+on_word (guint status, const char *body, gsize length, gpointer user)
+{
+  g_autofree Call *call = user;
+  View *view = &g_array_index (call->peers->views, View, call->at);
+  cJSON *root = status == 200 ? cJSON_ParseWithLength (body, length) : NULL;
+
+  view->asking = FALSE;
+  if (root)
+    take_standing (call->peers, view, root);
+  cJSON_Delete (root);
+}
+
+void
+hzb_peers_tick (HzbPeers *peers, struct timespec now)
+{
+  if (hzb_time_before (now, peers->next))
+    return;
+  peers->next = hzb_time_plus (now, 1);
+  for (guint i = 0; i < peers->views->len; i++)
+    {
+      View *view = &g_array_index (peers->views, View, i);
+      Call *call;
+      cJSON *root;
+      if (view->asking)
+        continue;
+      view->asking = TRUE;
+      call = g_new0 (Call, 1);
+      call->peers = peers;
+      call->at = i;
+      root = hzb_peers_message (peers, HZB_PEER_WORD);
+      say_standing (peers, root);
+      hzb_send (peers->c->transport, "POST", view->peer->address, "/peer/v1/word", cJSON_PrintUnformatted (root), 1500,
+                on_word, call);
+      cJSON_Delete (root);
+    }
+}
+
+void
+hzb_controller_peer_request (HzbExchange *exchange, gpointer user)
+{
+  HzbController *c = user;
+  gboolean block = g_str_equal (exchange->path, "/peer/v1/block");
+  cJSON *root = cJSON_ParseWithLength (exchange->body, exchange->length);
+  View *view = sender (c->peers, block ? HZB_PEER_BLOCK : HZB_PEER_WORD, root);
+
+  if (!view)
+    hzb_exchange_reply (exchange, 400, hzb_wire_error ("not a message of a peer, or an old one"), 0);
+  else if (block)
+    hzb_leases_request (c->leases, exchange, root);
+  else
+    {
+      cJSON *word = cJSON_CreateObject ();
+      take_standing (c->peers, view, root);
+      say_standing (c->peers, word);
+      hzb_exchange_reply (exchange, 200, cJSON_PrintUnformatted (word), 0);
+      cJSON_Delete (word);
+    }
+  cJSON_Delete (root);
+}
--- a/src/store.c
+++ b/src/store.c
@@ -1,6 +1,7 @@
 #include "store.h"
 
 #define CALL_MS 2500
+#define READ_CALL_MS 1700 /* a user waits for it, and not for longer than two seconds */
 #define LEASE_CALL_MS 1500
 
 typedef struct
@@ -164,7 +165,8 @@
 void
 hzb_store_get (HzbStore *store, HzbStorePriority priority, const char *key, HzbStoreFunc done, gpointer user)
 {
-  add (store, priority, "GET", hzb_wire_get_path (key), NULL, 0, CALL_MS, done, user);
+  add (store, priority, "GET", hzb_wire_get_path (key), NULL, 0, priority == HZB_STORE_READ ? READ_CALL_MS : CALL_MS, done,
+       user);
 }
 
 void
@@ -179,7 +181,8 @@
   guint writes = hzb_wire_txn_writes (txn);
   char *body = cJSON_PrintUnformatted (txn);
   cJSON_Delete (txn);
-  add (store, priority, "POST", g_strdup (hzb_path_txn), body, writes, CALL_MS, done, user);
+  add (store, priority, "POST", g_strdup (hzb_path_txn), body, writes, priority == HZB_STORE_READ ? READ_CALL_MS : CALL_MS,
+       done, user);
 }
 
 void
@@ -191,7 +194,7 @@
 void
 hzb_store_news (HzbStore *store, const char *prefix, guint64 after, HzbStoreFunc done, gpointer user)
 {
-  add (store, HZB_STORE_READ, "GET", hzb_wire_watch_path (prefix, after, 0), NULL, 0, CALL_MS, done, user);
+  add (store, HZB_STORE_READ, "GET", hzb_wire_watch_path (prefix, after, 0), NULL, 0, READ_CALL_MS, done, user);
 }
 
 void
--- a/tests/test-dispatch.c
+++ b/tests/test-dispatch.c
@@ -117,6 +117,75 @@
   return n;
 }
 
+/* While small jobs keep coming to full machines, the largest begins within four minutes all the same. */
+static void
+test_largest_begins (void)
+{
+  Bench b;
+  HzbJob *large;
+  guint began = 0, small = 0;
+  bench_up (&b, 11);
+  for (guint i = 0; i < 2; i++)
+    bench_machine (&b, "small", "za", FALSE);
+  for (guint i = 0; i < 4; i++)
+    bench_job (&b, "blue", HZB_URGENCY_NORMAL, 3, 2, 5);
+  large = bench_job (&b, "red", HZB_URGENCY_NORMAL, 500, 2, 30);
+  for (guint second = 1; second <= 300 && !began; second++)
+    {
+      struct timespec now;
+      hzb_clock_advance (b.clock, 1);
+      now = hzb_clock_now (b.clock);
+      bench_job (&b, "blue", HZB_URGENCY_NORMAL, 3, 2, 5)->since = now;
+      hzb_dispatch_run (b.dispatch, now);
+      for (guint i = 0; i < b.machines->all->len; i++)
+        {
+          HzbMachine *m = b.machines->all->pdata[i];
+          g_autoptr (GArray) orders = g_array_new (FALSE, FALSE, sizeof (HzbOrder));
+          for (guint k = m->tasks->len; k-- > 0;)
+            {
+              HzbTask *task = m->tasks->pdata[k];
+              if (hzb_time_between (task->since, now) < 5)
+                continue;
+              hzb_task_set_state (b.jobs, task, HZB_TASK_FINISHED, NULL);
+              small++;
+            }
+          hzb_dispatch_rebook (b.dispatch, m, now);
+          hzb_dispatch_fill (b.dispatch, m, now, orders);
+        }
+      if (large->placed)
+        began = second;
+    }
+  g_assert_cmpuint (began, >, 100); /* so it did wait for smaller ones */
+  g_assert_cmpuint (began, <, 240);
+  g_assert_cmpuint (large->placed, ==, 1);
+  g_assert_cmpuint (small, >, 50);
+  bench_down (&b);
+}
+
+/* A pressing job that no machine could take keeps none of its team's limit from others: they would wait for it for ever,
+ * and it for a machine that is rented only for what the limit leaves room for. */
+static void
+test_unplaceable_keeps_nothing (void)
+{
+  Bench b;
+  HzbJob *elsewhere, *job;
+  bench_up (&b, 12);
+  bench_machine (&b, "big", "za", FALSE);
+  elsewhere = bench_job (&b, "red", HZB_URGENCY_HIGH, 30, 2, 30);
+  elsewhere->spec->zone = g_strdup ("zb");
+  job = bench_job (&b, "red", HZB_URGENCY_NORMAL, 4, 2, 30);
+  for (guint round = 0; round < 2; round++)
+    {
+      g_autoptr (GArray) orders = g_array_new (FALSE, FALSE, sizeof (HzbOrder));
+      hzb_dispatch_run (b.dispatch, hzb_clock_now (b.clock));
+      hzb_dispatch_fill (b.dispatch, b.machines->all->pdata[0], hzb_clock_now (b.clock), orders);
+      bench_machine (&b, "big", "zb", FALSE);
+    }
+  g_assert_cmpuint (job->placed, ==, 4);
+  g_assert_cmpuint (elsewhere->listed, >, 0);
+  bench_down (&b);
+}
+
 /* No order of reports starts more than the team's limit allows. */
 static void
 test_limit (void)
@@ -282,6 +351,8 @@
   g_test_add_func ("/dispatch/sampling", test_sampling);
   g_test_add_func ("/dispatch/lag", test_lag);
   g_test_add_func ("/dispatch/limit", test_limit);
+  g_test_add_func ("/dispatch/unplaceable-keeps-nothing", test_unplaceable_keeps_nothing);
+  g_test_add_func ("/dispatch/largest-begins", test_largest_begins);
   g_test_add_func ("/dispatch/move-to-idle", test_move_to_idle);
   g_test_add_func ("/dispatch/preemption", test_preemption);
   g_test_add_func ("/dispatch/gang", test_gang);
--- a/tests/test-jobs.c
+++ b/tests/test-jobs.c
@@ -152,6 +152,7 @@
   job = bench_job (&b, "red", HZB_URGENCY_NORMAL, 3, 1, 10);
   cJSON_AddItemToObject (record, job->uid, hzb_jobs_pack_accepted (job->spec, job->accepted));
   hzb_jobs_take_acceptance (b.jobs, "a", record);
+  hzb_jobs_take_acceptance (b.jobs, "b", record); /* by two nodes: neither record may go yet */
   g_assert_null (hzb_jobs_spent_acceptance (b.jobs));
   hzb_jobs_apply (b.jobs, job->uid, cancelled, 70);
   g_assert_cmpint (job->state, ==, HZB_JOB_CANCELLED);
@@ -159,6 +160,7 @@
   hzb_jobs_apply (b.jobs, job->uid, done, 71);
   g_assert_cmpint (job->state, ==, HZB_JOB_CANCELLED);
   hzb_jobs_take_acceptance (b.jobs, "a", NULL);
+  hzb_jobs_take_acceptance (b.jobs, "b", NULL);
   g_assert_null (hzb_jobs_spent_acceptance (b.jobs));
   hzb_jobs_take_acceptance (b.jobs, "a", record); /* read late */
   g_assert_cmpint (job->state, ==, HZB_JOB_CANCELLED);
--- a/tests/test-world.c
+++ b/tests/test-world.c
@@ -12,9 +12,11 @@
     g_error ("%s, seed %u: %s", what, seed, (char *) w->broken->pdata[0]);
 }
 
+/* Also that nothing is forgotten and no one starved. */
 static void
 expect_all_over (World *w, const char *what, guint32 seed)
 {
+  world_check_end (w);
   expect_no_fault (w, what, seed);
   for (guint i = 0; i < w->jobs->len; i++)
     {
@@ -259,6 +261,109 @@
   world_free (w);
 }
 
+static WorldMachine *
+own_machine_with_tasks (World *w, HzbMachineState state)
+{
+  HzbController *c = w->nodes[MAX (world_leader (w), 0)].c;
+  for (guint i = 0; c && i < w->machines->len; i++)
+    {
+      WorldMachine *m = w->machines->pdata[i];
+      const HzbMachine *known = hzb_machines_find (c->machines, m->name);
+      if (m->tasks->len && !m->gone && known && known->state == state)
+        return m;
+    }
+  return NULL;
+}
+
+static void
+some_work (World *w, guint jobs)
+{
+  for (guint i = 0; i < jobs; i++)
+    world_add_job (w, 1 + 0.3 * i, i % 2 ? "red" : "blue", 8, 3, 20)->type = "small";
+}
+
+static WorldMachine *
+run_until (World *w, HzbMachineState state)
+{
+  WorldMachine *m = NULL;
+  while (!m && w->now < 60)
+    {
+      world_run (w, w->now + 0.5);
+      m = own_machine_with_tasks (w, state);
+    }
+  g_assert_nonnull (m);
+  return m;
+}
+
+/* A machine whose reports arrive while nothing reaches it, the leader's own and a lent one: its lease ends though every
+ * report was answered; it gets no work that it does not carry out, its tasks run elsewhere, and it goes back. */
+static void
+test_deaf_machine (void)
+{
+  for (guint32 seed = 80; seed < 84; seed++)
+    {
+      World *w = world_new (seed);
+      HzbMachineState state = seed % 2 ? HZB_MACHINE_LENT : HZB_MACHINE_ACTIVE;
+      WorldMachine *m;
+      const HzbMachine *known;
+      double began;
+      some_work (w, 10);
+      m = run_until (w, state);
+      began = w->now;
+      m->deaf = TRUE;
+      world_run (w, began + 16);
+      g_assert_cmpuint (m->session, >, 1);
+      known = hzb_machines_find (w->nodes[world_leader (w)].c->machines, m->name);
+      g_assert_true (!known || !hzb_machine_usable (known));
+      world_run (w, began + 50);
+      g_assert_true (m->gone);
+      world_run (w, 500);
+      expect_all_over (w, "deaf machine", seed);
+      world_free (w);
+    }
+}
+
+/* A short deafness costs no machine and no task. */
+static void
+test_short_deafness (void)
+{
+  World *w = world_new (84);
+  WorldMachine *m;
+  some_work (w, 10);
+  m = run_until (w, HZB_MACHINE_ACTIVE);
+  m->deaf = TRUE;
+  world_run (w, w->now + 3);
+  m->deaf = FALSE;
+  world_run (w, w->now + 15);
+  g_assert_cmpuint (m->session, ==, 1);
+  g_assert_false (m->gone);
+  world_run (w, 400);
+  expect_all_over (w, "short deafness", 84);
+  world_free (w);
+}
+
+/* A takeover does not wait for ever for a machine that never shows the new token though it reports all the time. */
+static void
+test_deaf_at_takeover (void)
+{
+  World *w = world_new (85);
+  WorldMachine *m;
+  int leader;
+  some_work (w, 10);
+  m = run_until (w, HZB_MACHINE_ACTIVE);
+  leader = world_leader (w);
+  m->deaf = TRUE;
+  world_crash (w, (guint) leader);
+  world_run (w, w->now + 25);
+  g_assert_cmpint (world_leader (w), !=, -1);
+  g_assert_cmpint (w->nodes[world_leader (w)].c->hold, ==, HZB_HOLD_FULL);
+  g_assert_true (m->gone);
+  world_start (w, (guint) leader);
+  world_run (w, 400);
+  expect_all_over (w, "deaf at takeover", 85);
+  world_free (w);
+}
+
 /* A job that fails wherever it starts is tried ever more slowly, and others go on. */
 static void
 test_bad_job (void)
@@ -318,9 +423,8 @@
   WorldMachine *m;
   guint started;
   world_add_job (w, 1, "red", 6, 2, 60);
+  m = run_until (w, HZB_MACHINE_ACTIVE);
   world_run (w, 25);
-  m = machine_with_tasks (w);
-  g_assert_nonnull (m);
   started = w->started;
   g_assert_cmpuint (report_again (w, m, m->session, 1, ""), ==, 503);
   g_assert_cmpuint (report_again (w, m, m->session, m->seq, ""), ==, 503);
@@ -331,6 +435,58 @@
   world_free (w);
 }
 
+/* Once a machine's lease is over for certain, a report of that session makes it look alive no more, whatever its number;
+ * and a report alone, as a copy of one long gone may be, makes no machine that gets work. */
+static void
+test_late_copies_revive_nothing (void)
+{
+  World *w = world_new (86);
+  WorldMachine *m, gone = { .name = (char *) "i-900001", .type = (char *) "big", .zone = (char *) "za" };
+  HzbController *c;
+  some_work (w, 10);
+  m = run_until (w, HZB_MACHINE_ACTIVE);
+  c = w->nodes[world_leader (w)].c;
+  m->cut = TRUE;
+  world_run (w, w->now + 13);
+  g_assert_cmpint (hzb_machines_find (c->machines, m->name)->state, ==, HZB_MACHINE_SILENT);
+  g_assert_cmpuint (report_again (w, m, 1, 100000, ""), ==, 503);
+  g_assert_cmpint (hzb_machines_find (c->machines, m->name)->state, ==, HZB_MACHINE_SILENT);
+  g_assert_cmpuint (report_again (w, &gone, 1, 1, ""), ==, 200);
+  g_assert_nonnull (strstr (last_body, "\"orders\":[]"));
+  g_assert_false (hzb_machine_usable (hzb_machines_find (c->machines, gone.name)));
+  m->cut = FALSE;
+  world_run (w, 400);
+  expect_all_over (w, "late copies revive nothing", 86);
+  world_free (w);
+}
+
+/* Copies of reports and of messages between nodes come late, to any node, while leaders and machines change. */
+static void
+test_late_copies (void)
+{
+  for (guint32 seed = 90; seed < 98; seed++)
+    {
+      World *w = world_new (seed);
+      w->copies = 0.4;
+      w->peer_copies = seed % 2 ? 0.4 : 0;
+      some_work (w, 12);
+      for (guint i = 0; i < 3; i++)
+        {
+          world_at (w, g_rand_double_range (w->rand, 10, 60), crash_one, NULL);
+          world_at (w, g_rand_double_range (w->rand, 10, 60), hurt_machine, NULL);
+          world_at (w, g_rand_double_range (w->rand, 15, 70), start_all, NULL);
+        }
+      if (seed % 4 == 3)
+        world_at (w, g_rand_double_range (w->rand, 15, 50), crash_all, NULL);
+      world_at (w, 75, start_all, NULL);
+      world_run (w, 80);
+      w->copies = w->peer_copies = 0;
+      world_run (w, 500);
+      expect_all_over (w, "late copies", seed);
+      world_free (w);
+    }
+}
+
 /* A worker that has seen a newer token: whoever answers it with less has been replaced, and gives way. */
 static void
 test_newer_token (void)
@@ -641,6 +797,154 @@
   return status;
 }
 
+static void
+submit_at (World *w, guint at, guint *status)
+{
+  HzbExchange *exchange = g_new0 (HzbExchange, 1);
+  exchange->method = g_strdup ("GET");
+  exchange->path = g_strdup ("/api/jobs/run-100000");
+  exchange->body = g_strdup ("");
+  exchange->reply = keep_status;
+  exchange->impl = status;
+  hzb_controller_request (exchange, w->nodes[at].c);
+}
+
+/* A controller that loses the state service and the other controllers, but not its workers: it soon stops answering
+ * them, so that they go on elsewhere with their leases alive, and tells users at once that it can't say. */
+static void
+test_cut_off_but_for_workers (void)
+{
+  for (guint32 seed = 52; seed < 56; seed++)
+    {
+      World *w = world_new (seed);
+      WorldMachine *m;
+      guint at, status = 0;
+      some_work (w, 10);
+      m = run_until (w, HZB_MACHINE_LENT);
+      at = seed % 2 ? (guint) world_leader (w) : m->node;
+      w->nodes[at].cut_store = w->nodes[at].cut_peers = TRUE;
+      world_run (w, w->now + 5);
+      submit_at (w, at, &status);
+      g_assert_cmpuint (status, ==, 503); /* in this very moment */
+      world_run (w, w->now + 4);
+      g_assert_cmpint (w->nodes[at].c->hold, ==, HZB_HOLD_NONE);
+      g_assert_false (hzb_controller_ready (w->nodes[at].c));
+      world_run (w, w->now + 8);
+      for (guint i = 0; i < w->machines->len; i++)
+        g_assert_cmpuint (((WorldMachine *) w->machines->pdata[i])->session, ==, 1);
+      heal (w, NULL);
+      world_run (w, 500);
+      expect_all_over (w, "cut off but for workers", seed);
+      world_free (w);
+    }
+}
+
+static void
+restart_now (World *w, gpointer data)
+{
+  guint at = GPOINTER_TO_UINT (data);
+  world_crash (w, at);
+  world_start (w, at);
+}
+
+/* Each node is back within a fraction of a second, again and again, in elections, leases and flushes; what its earlier
+ * processes sent comes late. */
+static void
+test_back_at_once (void)
+{
+  for (guint32 seed = 100; seed < 106; seed++)
+    {
+      World *w = world_new (seed);
+      double at;
+      w->peer_copies = 0.3;
+      some_work (w, 12);
+      for (at = 2; at < 50; at += g_rand_double_range (w->rand, 0.3, 9))
+        world_at (w, at, restart_now, GUINT_TO_POINTER ((guint) g_rand_int_range (w->rand, 0, WORLD_NODES)));
+      world_run (w, 55);
+      w->peer_copies = 0;
+      world_run (w, 600);
+      expect_all_over (w, "back at once", seed);
+      world_free (w);
+    }
+}
+
+/* A message of an earlier process does not count as the new one's: no block is taken back for it. */
+static void
+test_earlier_process (void)
+{
+  World *w = world_new (57);
+  HzbController *c, *leader;
+  HzbExchange *exchange;
+  guint status[3] = { 0 }, at;
+  g_autofree char *old = NULL, *text[3] = { NULL };
+  some_work (w, 4);
+  world_run (w, 12);
+  at = (guint) (world_leader (w) + 1) % WORLD_NODES;
+  old = g_strdup (w->nodes[at].c->incarnation);
+  restart_now (w, GUINT_TO_POINTER (at));
+  world_run (w, 20);
+  c = w->nodes[at].c;
+  leader = w->nodes[world_leader (w)].c;
+  text[0] = g_strdup_printf ("{\"node\":\"node-%u\",\"incarnation\":\"%s\",\"born\":1,\"number\":99999}", at, old);
+  text[1] = g_strdup_printf ("{\"node\":\"node-%u\",\"incarnation\":\"%s\",\"born\":1,\"number\":1}", at, c->incarnation);
+  text[2] = g_strdup ("{\"node\":\"node-9\",\"incarnation\":\"x\",\"born\":1,\"number\":1}");
+  for (guint i = 0; i < 3; i++)
+    {
+      exchange = g_new0 (HzbExchange, 1);
+      exchange->method = g_strdup ("POST");
+      exchange->path = g_strdup ("/peer/v1/block");
+      exchange->body = g_strdup (text[i]);
+      exchange->length = strlen (text[i]);
+      exchange->reply = keep_status;
+      exchange->impl = &status[i];
+      hzb_controller_peer_request (exchange, leader);
+      g_assert_cmpuint (status[i], ==, 400);
+    }
+  world_run (w, 300);
+  expect_all_over (w, "earlier process", 57);
+  world_free (w);
+}
+
+static guint
+count_unanswered (World *w, guint at)
+{
+  guint n = 0;
+  g_autofree guint *status = g_new0 (guint, w->jobs->len);
+  for (guint i = 0; i < w->jobs->len; i++)
+    {
+      HzbExchange *exchange = g_new0 (HzbExchange, 1);
+      exchange->method = g_strdup ("GET");
+      exchange->path = g_strdup_printf ("/api/jobs/%s", ((WorldJob *) w->jobs->pdata[i])->uid);
+      exchange->body = g_strdup ("");
+      exchange->reply = keep_status;
+      exchange->impl = &status[i];
+      hzb_controller_request (exchange, w->nodes[at].c);
+    }
+  world_run (w, w->now + 2);
+  for (guint i = 0; i < w->jobs->len; i++)
+    n += status[i] != 200;
+  return n;
+}
+
+/* After all nodes have ended and begun anew with a whole day's records, each answers for every job. */
+static void
+test_nothing_forgotten (void)
+{
+  World *w = world_new (58);
+  for (guint i = 0; i < 90; i++)
+    world_add_job (w, 1 + 0.4 * i, i % 2 ? "red" : "blue", 2, 1, 3)->wants_cancel = i % 9 == 0;
+  world_run (w, 45);
+  crash_all (w, NULL);
+  world_run (w, 55);
+  for (guint i = 0; i < WORLD_NODES; i++)
+    g_assert_cmpuint (count_unanswered (w, i), ==, 0);
+  world_run (w, 400);
+  expect_all_over (w, "nothing forgotten", 58);
+  for (guint i = 0; i < WORLD_NODES; i++)
+    g_assert_cmpuint (count_unanswered (w, i), ==, 0);
+  world_free (w);
+}
+
 /* The leader loses the workers, and nothing else: another leads before the workers' leases are over. */
 static void
 test_leader_loses_workers (void)
@@ -715,6 +1019,15 @@
   g_ptr_array_set_size (w->broken, 0);
 }
 
+static gboolean
+has_broken (World *w, const char *rule, const char *text)
+{
+  for (guint i = 0; i < w->broken->len; i++)
+    if (g_str_has_prefix (w->broken->pdata[i], rule) && strstr (w->broken->pdata[i], text))
+      return TRUE;
+  return FALSE;
+}
+
 /* The checks themselves: each can fail. */
 static void
 test_checks_can_fail (void)
@@ -762,6 +1075,28 @@
     world_start_task (w, a, piece, 9); /* a is in za */
     g_assert_true (g_str_has_prefix (w->broken->pdata[0], "wrong_place"));
   }
+  job->zone = NULL;
+  g_ptr_array_set_size (w->broken, 0);
+  /* At a day's end. */
+  for (guint i = 0; i < w->jobs->len; i++)
+    ((WorldJob *) w->jobs->pdata[i])->team = g_strdup ("blue");
+  job = world_add_job (w, 1e6, "red", 4, 1, 1);
+  job->submitted = job->accepted = job->told_done = TRUE;
+  job->began_at = job->answered_at = 1;
+  w->now = 70;
+  world_check_end (w);
+  for (guint i = 0; i < w->broken->len; i++)
+    g_assert_null (strstr (w->broken->pdata[i], job->uid));
+  g_ptr_array_set_size (w->broken, 0);
+  w->now = 80;
+  world_check_end (w);
+  g_assert_true (has_broken (w, "forgotten", job->uid));
+  job->submit_at = 0;
+  job->began_at = 300;
+  job->told_done = FALSE;
+  world_check_end (w);
+  g_assert_true (has_broken (w, "starved", job->uid));
+  g_assert_true (has_broken (w, "starved", "of red 0 of 1 jobs"));
   world_free (w);
 }
 
@@ -777,6 +1112,15 @@
   g_test_add_func ("/world/quick-restart", test_quick_restart);
   g_test_add_func ("/world/outage-keeps-tasks", test_outage_keeps_tasks);
   g_test_add_func ("/world/bad-job", test_bad_job);
+  g_test_add_func ("/world/deaf-machine", test_deaf_machine);
+  g_test_add_func ("/world/short-deafness", test_short_deafness);
+  g_test_add_func ("/world/deaf-at-takeover", test_deaf_at_takeover);
+  g_test_add_func ("/world/late-copies-revive-nothing", test_late_copies_revive_nothing);
+  g_test_add_func ("/world/late-copies", test_late_copies);
+  g_test_add_func ("/world/cut-off-but-for-workers", test_cut_off_but_for_workers);
+  g_test_add_func ("/world/back-at-once", test_back_at_once);
+  g_test_add_func ("/world/earlier-process", test_earlier_process);
+  g_test_add_func ("/world/nothing-forgotten", test_nothing_forgotten);
   g_test_add_func ("/world/late-report", test_late_report);
   g_test_add_func ("/world/newer-token", test_newer_token);
   g_test_add_func ("/world/older-token", test_older_token);
--- a/tests/world.c
+++ b/tests/world.c
@@ -7,6 +7,7 @@
 #define REPORT_S 1.5
 #define CANCEL_S 30.0
 #define TEAM_MAX 24.0
+#define FORGOTTEN_S 75.0
 
 /* ---- events ---- */
 
@@ -588,6 +589,18 @@
   world_at (w, w->now + timeout_ms / 1000.0, on_timeout, call);
   if (chance (w, w->lose) || is_cut (w, call))
     return;
+  if (!g_str_has_prefix (addr, "10.9.") && chance (w, w->peer_copies))
+    {
+      Call *copy = g_new0 (Call, 1);
+      copy->node = call->node;
+      copy->life = G_MAXUINT; /* nobody hears the answer */
+      copy->method = g_strdup (method);
+      copy->addr = g_strdup (addr);
+      copy->path = g_strdup (path);
+      copy->body = g_strdup (body);
+      copy->refs = 1;
+      world_at (w, w->now + g_rand_double_range (w->rand, 0.2, 30), on_arrival, copy);
+    }
   call->refs++;
   /* Held back: it is carried out long after its sender has given up. */
   world_at (w, w->now + (chance (w, w->late) ? g_rand_double_range (w->rand, 1, 9) : delay (w)), on_arrival, call);
@@ -738,6 +751,8 @@
   task->end_at = task->ready_at + job->run_s * g_rand_double_range (w->rand, 0.6, 1.5);
   g_ptr_array_add (m->tasks, task);
   w->started++;
+  if (job->began_at <= 0)
+    job->began_at = w->now;
   return task;
 }
 
@@ -847,7 +862,7 @@
   guint64 session;
   double sent;
   guint status;
-  gboolean over;
+  gboolean over, copy;
 } Report;
 
 /* The answer, or that none came within 4 s. */
@@ -894,7 +909,7 @@
   g_free (pair);
   r->status = status;
   r->body = g_strdup (body);
-  if (!chance (w, w->lose) && !w->nodes[r->node].cut_workers)
+  if (!r->copy && !r->m->deaf && !chance (w, w->lose) && !w->nodes[r->node].cut_workers)
     world_at (w, w->now + delay (w), report_over, r);
 }
 
@@ -941,6 +956,16 @@
   m->asking = TRUE;
   m->next_report = w->now + REPORT_S * g_rand_double_range (w->rand, 0.75, 1.25);
   world_at (w, w->now + 4, report_gives_up, r);
+  if (chance (w, w->copies))
+    {
+      /* From seconds to well over a lease. */
+      Report *copy = g_new0 (Report, 1);
+      *copy = *r;
+      copy->body = g_strdup (r->body);
+      copy->copy = TRUE;
+      copy->node = (guint) g_rand_int_range (w->rand, 0, WORLD_NODES);
+      world_at (w, w->now + g_rand_double_range (w->rand, 1, 4 * LEASE_S), report_arrives, copy);
+    }
   if (!m->cut && !chance (w, w->lose))
     world_at (w, w->now + (chance (w, w->late) ? g_rand_double_range (w->rand, 1, 9) : delay (w)), report_arrives, r);
 }
@@ -1036,6 +1061,8 @@
   gboolean all = TRUE;
   for (guint i = 0; i < job->n; i++)
     all = all && job->finished[i];
+  if (status == 200 || status == 201 || status == 400 || status == 404 || status == 422)
+    job->answered_at = w->now;
   if (status == 200 || status == 201)
     {
       gboolean done = g_strcmp0 (state, "done") == 0, cancelled = g_strcmp0 (state, "cancelled") == 0;
@@ -1051,6 +1078,8 @@
       job->told_done = job->told_done || done;
       job->told_cancelled = job->told_cancelled || cancelled;
     }
+  else if (status == 503 || status == 429)
+    return;
   else if (job->accepted && (status == 404 || status == 400 || status == 422))
     broken (w, "forgotten", "%s got %u", job->uid, status);
 }
@@ -1161,6 +1190,36 @@
   return task->state >= 1 && task->state <= 3;
 }
 
+/* What is looked at once all troubles are over. */
+void
+world_check_end (World *w)
+{
+  for (guint i = 0; i < w->jobs->len; i++)
+    {
+      const WorldJob *job = w->jobs->pdata[i];
+      if (job->accepted && w->now - job->answered_at > FORGOTTEN_S)
+        broken (w, "forgotten", "no question about %s is answered since %.0f", job->uid, job->answered_at);
+    }
+  for (guint i = 0; i < w->jobs->len; i++)
+    {
+      const WorldJob *job = w->jobs->pdata[i];
+      guint of_team = 0, served = 0, largest = 0;
+      for (guint k = 0; k < w->jobs->len; k++)
+        {
+          const WorldJob *other = w->jobs->pdata[k];
+          if (!g_str_equal (other->team, job->team) || other->bad || other->told_cancelled)
+            continue;
+          largest = MAX (largest, other->n);
+          of_team++;
+          served += other->told_done;
+        }
+      if (2 * served < of_team)
+        broken (w, "starved", "of %s %u of %u jobs are over", job->team, served, of_team);
+      if (job->n == largest && !job->bad && !job->told_cancelled && (job->began_at <= 0 || job->began_at - job->submit_at > 240))
+        broken (w, "starved", "%s, the largest of %s, began at %.0f", job->uid, job->team, job->began_at);
+    }
+}
+
 void
 world_check (World *w)
 {
--- a/tests/world.h
+++ b/tests/world.h
@@ -38,6 +38,7 @@
 {
   char *name, *type, *zone;
   gboolean spot, up, failed, gone, cut, hung, sick;
+  gboolean deaf; /* its reports arrive, no answer reaches it */
   double rented, up_at, listed_at, gone_at, cpus;
   guint64 session, seq, token;
   double lease_from, next_report;
@@ -54,7 +55,7 @@
   const char *zone, *type;
   gboolean spot, bad, gang;
   gboolean wants_cancel, submitted, accepted, told_done, told_cancelled, asked_cancel;
-  double submit_at, cancelled_at;
+  double submit_at, cancelled_at, answered_at, began_at;
   guchar *finished; /* a task has ended well somewhere */
 } WorldJob;
 
@@ -78,6 +79,8 @@
   guint machine_number;
   GPtrArray *machines, *jobs;
   double lose, late; /* chances per message */
+  double copies;     /* of reports, that a copy comes late, to any node */
+  double peer_copies; /* of messages between nodes */
   gboolean boot_never;
   GPtrArray *broken; /* rules broken, as texts */
   guint started, ran;
@@ -94,6 +97,7 @@
 void world_start_task (World *w, WorldMachine *m, const char *piece, guint64 attempt); /* as an order does */
 void world_told (World *w, WorldJob *job, guint status, const char *state);            /* an answer to its user */
 void world_check (World *w);
+void world_check_end (World *w); /* nothing forgotten, no one starved */
 guint world_unfinished (World *w);
 int world_leader (World *w); /* -1: none */
 void world_at (World *w, double at, void (*run) (World *w, gpointer data), gpointer data);
