A noticed machine gives up what it can't finish, and goes back when empty

Also records are flushed, and machines filled, as soon as something waits for it, and the log's summary covers lent machines.

Test: /world/notice.

--- a/src/controller.c
+++ b/src/controller.c
@@ -20,7 +20,10 @@
         hzb_jobs_apply (c->jobs, item->key + strlen (HZB_KEY_JOBS), item->value, item->version);
     }
   else if (g_str_has_prefix (item->key, HZB_KEY_ACCEPTED))
-    hzb_jobs_take_acceptance (c->jobs, item->key, item->value);
+    {
+      hzb_jobs_take_acceptance (c->jobs, item->key, item->value);
+      c->next_dispatch = (struct timespec){ 0 };
+    }
   else if (g_str_equal (item->key, HZB_KEY_TYPES))
     {
       GPtrArray *types = item->value ? hzb_wire_unpack_types (item->value) : NULL;
@@ -494,6 +497,9 @@
         m->wanted_back = TRUE; /* silence proves nothing: only the cloud can say that it is gone */
       if (m->state == HZB_MACHINE_SILENT && in_state > FORGET_SILENT_S)
         m->wanted_back = TRUE;
+      /* It is paid for as long as it is there. */
+      if (m->state == HZB_MACHINE_DRAINING && !m->tasks->len)
+        m->wanted_back = TRUE;
       /* A short deafness costs no machine; one that stays deaf longer than its lease is of no use. */
       if (m->deaf && hzb_time_between (m->deaf_since, now) > c->settings->lease_s + FORGET_SILENT_S)
         m->wanted_back = TRUE;
@@ -666,20 +672,22 @@
     }
 }
 
-/* One line that tells an operator how the fleet stands. */
+/* One line that tells an operator how the fleet stands, lent machines included. */
 static void
 log_summary (HzbController *c)
 {
-  guint up = 0, booting = 0, other = 0, running = 0, fetching = 0;
-  double cpus = 0, busy = 0, booting_cpus = 0, waiting = 0, held = 0;
+  guint up = 0, lent = 0, booting = 0, other = 0;
+  double cpus = 0, spare = 0, booting_cpus = 0, running = 0, held = 0, waiting = 0;
 
   for (guint i = 0; i < c->machines->all->len; i++)
     {
       const HzbMachine *m = c->machines->all->pdata[i];
-      if (m->state == HZB_MACHINE_ACTIVE && m->type)
+      if ((m->state == HZB_MACHINE_ACTIVE || m->state == HZB_MACHINE_LENT) && m->type)
         {
           up++;
+          lent += m->state == HZB_MACHINE_LENT;
           cpus += m->type->cpus;
+          spare += m->spare ? m->type->cpus : 0;
         }
       else if (m->state == HZB_MACHINE_BOOTING && m->type)
         {
@@ -688,28 +696,19 @@
         }
       else
         other++;
-      for (guint k = 0; k < m->tasks->len; k++)
-        {
-          const HzbTask *task = m->tasks->pdata[k];
-          held += task->job->spec->cpus;
-          if (task->state == HZB_TASK_RUNNING)
-            {
-              busy += task->job->spec->cpus;
-              running++;
-            }
-          else
-            fetching++;
-        }
     }
   for (guint i = 0; i < c->jobs->active->len; i++)
     {
       const HzbJob *job = c->jobs->active->pdata[i];
-      if (job->state == HZB_JOB_ACCEPTED)
-        waiting += (job->pending + job->listed) * job->spec->cpus;
+      if (job->state != HZB_JOB_ACCEPTED)
+        continue;
+      waiting += (job->pending + job->listed) * job->spec->cpus;
+      held += job->placed * job->spec->cpus;
+      running += (job->running + job->lent_running) * job->spec->cpus;
     }
-  g_message ("fleet: %u up (%g CPUs: %g held, %g running), %u booting (%g CPUs), %u other; %u tasks run, %u get ready, "
-             "%g CPUs' worth wait",
-             up, cpus, held, busy, booting, booting_cpus, other, running, fetching, waiting);
+  g_message ("fleet: %u up, %u of them lent (%g CPUs: %g held, %g running; %g spare), %u booting (%g CPUs), %u other; %g CPUs' "
+             "worth wait",
+             up, lent, cpus, held, running, spare, booting, booting_cpus, other, waiting);
 }
 
 static void
@@ -753,6 +752,7 @@
     {
       c->next_dispatch = hzb_time_plus (now, 0.2);
       hzb_dispatch_run (c->dispatch, now);
+      hzb_records_flush_soon (c->records); /* of jobs that could start now */
     }
   if (!hzb_time_before (now, c->next_list) && !c->listing)
     {
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -5,6 +5,7 @@
 
 #define SICK_AFTER 3u
 #define DEAF_AFTER 2u
+#define HOPELESS 1.3 /* estimates are often wrong: only what should need so many times what is left is given up */
 
 static void
 order (GArray *orders, HzbOrderKind kind, const char *uid, guint task, guint64 attempt, double grace_s)
@@ -172,7 +173,8 @@
            job->spec->checkpoint_s > 0 ? job->spec->save_s + 1 : 0);
 }
 
-/* The cloud takes the machine soon: nothing new goes there, and what can save does so in time. */
+/* The cloud takes the machine soon: nothing new goes there, what can save does so in time, and what can neither save
+ * nor end before then is stopped, so that it starts elsewhere at once. */
 static void
 take_notice (HzbController *c, HzbMachine *m, double notice_s, struct timespec now, GArray *orders)
 {
@@ -186,23 +188,24 @@
     {
       HzbTask *task = m->tasks->pdata[i];
       const HzbSpec *spec = task->job->spec;
-      double left = hzb_job_mean_s (task->job) - hzb_time_between (task->since, now);
-      if (task->stopping || task->state != HZB_TASK_RUNNING)
+      gboolean runs = task->state == HZB_TASK_RUNNING;
+      double left = hzb_job_mean_s (task->job) - (runs ? hzb_time_between (task->since, now) : 0);
+      if (task->stopping || (!runs && task->state != HZB_TASK_FETCHING) || task->job->state != HZB_JOB_ACCEPTED)
         continue;
       if (spec->gang)
         {
           /* An orderly stop: every task is told with the answer to its machine's next report. */
-          for (guint k = 0; spec->checkpoint_s > 0 && left > notice_s && k < task->job->n_tasks; k++)
+          for (guint k = 0; runs && spec->checkpoint_s > 0 && left > notice_s && k < task->job->n_tasks; k++)
             if (hzb_task_on_machine (&task->job->tasks[k]))
               task->job->tasks[k].stopping = TRUE;
           continue;
         }
-      /* What should end by itself before then runs on; a task without checkpoints has nothing to save. */
-      if (spec->checkpoint_s > 0 && left > notice_s - spec->save_s - 1)
-        {
-          task->stopping = TRUE;
-          order (orders, HZB_ORDER_STOP, task->job->uid, task->index, task->attempt, spec->save_s + 1);
-        }
+      /* What should end by itself before then runs on. */
+      if (runs && spec->checkpoint_s > 0 ? left <= notice_s - spec->save_s - 1 : left <= HOPELESS * notice_s)
+        continue;
+      task->stopping = TRUE;
+      order (orders, HZB_ORDER_STOP, task->job->uid, task->index, task->attempt,
+             spec->checkpoint_s > 0 ? spec->save_s + 1 : 0);
     }
 }
 
--- a/src/lease.c
+++ b/src/lease.c
@@ -930,6 +930,11 @@
         hzb_leases_give_machine (leases, m, "it does not seem to hear its answers");
       else if (m->wanted_back && m->tasks->len == 0)
         hzb_leases_give_machine (leases, m, "it fails what it starts");
+      else if (m->state == HZB_MACHINE_DRAINING && m->tasks->len == 0)
+        {
+          m->wanted_back = TRUE;
+          hzb_leases_give_machine (leases, m, "the cloud takes it back");
+        }
       else if (m->asked_back && m->tasks->len == 0)
         hzb_leases_give_machine (leases, m, "the leader asked for it");
       else if (m->state == HZB_MACHINE_ACTIVE && m->tasks->len == 0 && hzb_machine_listed (m) == 0
--- a/src/records.c
+++ b/src/records.c
@@ -10,7 +10,7 @@
 
 #include <string.h>
 
-#define FLUSH_EVERY_S 0.25 /* at the most; what nothing waits for is written more seldom: */
+#define FLUSH_EVERY_S 0.1 /* at the most, for what tasks wait for; the rest is written more seldom: */
 #define PROGRESS_EVERY_S 1.0
 #define CLEAN_EVERY_S 3.0
 #define PAGE_BYTES 12000u /* and less where values have to be smaller */
@@ -426,6 +426,7 @@
     {
       hzb_wire_parse_txn (body, &r->version, NULL);
       flush_applied (r, flush);
+      held->c->next_dispatch = (struct timespec){ 0 }; /* what was released, and recorded, can be used */
     }
   else
     flush_failed (r, flush);
--- a/tests/test-world.c
+++ b/tests/test-world.c
@@ -364,6 +364,34 @@
   world_free (w);
 }
 
+/* The cloud will take a machine: a task that can neither save nor end before then starts elsewhere at once, one that is
+ * nearly over runs on, and the machine goes back as soon as it is empty. */
+static void
+test_notice (void)
+{
+  World *w = world_new (87);
+  WorldJob *brief = world_add_job (w, 1, "red", 1, 3, 10), *lengthy = world_add_job (w, 1, "red", 1, 3, 200);
+  WorldMachine *m;
+  double at;
+  brief->type = lengthy->type = "big"; /* 8 CPUs: they share one */
+  m = run_until (w, HZB_MACHINE_ACTIVE);
+  while (m->tasks->len < 2 && w->now < 30)
+    world_run (w, w->now + 0.5);
+  g_assert_cmpuint (m->tasks->len, ==, 2);
+  world_run (w, w->now + 3);
+  m->taken_at = w->now + 40;
+  at = w->now;
+  world_run (w, at + 4);
+  g_assert_cmpuint (m->tasks->len, ==, 1);
+  g_assert_cmpstr (((WorldTask *) m->tasks->pdata[0])->uid, ==, brief->uid);
+  world_run (w, at + 25);
+  g_assert_true (brief->told_done);
+  g_assert_true (m->gone);
+  world_run (w, 500);
+  expect_all_over (w, "notice", 87);
+  world_free (w);
+}
+
 /* A job that fails wherever it starts is tried ever more slowly, and others go on. */
 static void
 test_bad_job (void)
@@ -1112,6 +1140,7 @@
   g_test_add_func ("/world/quick-restart", test_quick_restart);
   g_test_add_func ("/world/outage-keeps-tasks", test_outage_keeps_tasks);
   g_test_add_func ("/world/bad-job", test_bad_job);
+  g_test_add_func ("/world/notice", test_notice);
   g_test_add_func ("/world/deaf-machine", test_deaf_machine);
   g_test_add_func ("/world/short-deafness", test_short_deafness);
   g_test_add_func ("/world/deaf-at-takeover", test_deaf_at_takeover);
--- a/tests/world.c
+++ b/tests/world.c
@@ -824,7 +824,7 @@
 }
 
 static char *
-report_of (WorldMachine *m)
+report_of (World *w, WorldMachine *m)
 {
   cJSON *root = cJSON_CreateObject (), *list;
   char *text;
@@ -836,6 +836,8 @@
   hzb_json_add_u64 (root, "tenure", m->session);
   hzb_json_add_u64 (root, "tick", ++m->seq);
   hzb_json_add_u64 (root, "baton", m->token);
+  if (m->taken_at > 0)
+    cJSON_AddNumberToObject (root, "reclaimInS", m->taken_at - w->now);
   list = cJSON_AddArrayToObject (root, "pieces");
   for (guint i = 0; i < m->tasks->len; i++)
     {
@@ -948,7 +950,7 @@
 {
   Report *r = g_new0 (Report, 1);
   r->m = m;
-  r->body = report_of (m);
+  r->body = report_of (w, m);
   r->number = ++m->report_number;
   r->node = m->node;
   r->session = m->session;
--- a/tests/world.h
+++ b/tests/world.h
@@ -39,6 +39,7 @@
   char *name, *type, *zone;
   gboolean spot, up, failed, gone, cut, hung, sick;
   gboolean deaf; /* its reports arrive, no answer reaches it */
+  double taken_at; /* the cloud takes it then, and says so; 0: not */
   double rented, up_at, listed_at, gone_at, cpus;
   guint64 session, seq, token;
   double lease_from, next_report;
