--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -698,13 +698,13 @@
 static double
 preempt_after_s (HzbDispatch *d, const HzbJob *job)
 {
-  double after = 8;
+  double after = 10;
   for (guint i = 0; i < d->settings->objectives->len; i++)
     {
       const HzbObjective *o = d->settings->objectives->pdata[i];
       if ((g_strcmp0 (o->kind, "wait") == 0 && g_strcmp0 (o->lane, job->spec->lane) == 0)
           || (g_strcmp0 (o->kind, "guarantee") == 0 && job->guaranteed))
-        after = MIN (after, o->within_s * 0.25);
+        after = MIN (after, o->within_s * 0.45);
     }
   return after;
 }
