Empty half-empty spare machines of tasks that can save

Such tasks now save, stop and go on where there is room that nobody waits for, if that empties the machine. Test: /dispatch/consolidate.

--- a/src/controller.c
+++ b/src/controller.c
@@ -742,6 +742,7 @@
             ((HzbMachine *) back->pdata[i])->wanted_back = TRUE;
         }
       rent (c, now);
+      hzb_dispatch_consolidate (c->dispatch, now);
     }
   if (!hzb_time_before (now, c->next_summary))
     {
@@ -843,6 +844,11 @@
       c->next_dispatch = hzb_time_plus (now, 0.2);
       hzb_dispatch_run (c->dispatch, now);
     }
+  if (c->hold == HZB_HOLD_LEASED && !hzb_time_before (now, c->next_plan))
+    {
+      c->next_plan = hzb_time_plus (now, 1);
+      hzb_dispatch_consolidate (c->dispatch, now);
+    }
   if (c->hold >= HZB_HOLD_RECOVERING)
     hold_tick (c, now);
   if (!c->asking_types && !hzb_time_before (now, c->next_types)
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -774,6 +774,65 @@
       }
 }
 
+/* ---- emptying machines ---- */
+
+#define MOVE_LEFT_S 20.0 /* what should be over sooner ends where it is */
+#define MOVE_PART 0.6    /* of a machine: what is fuller is worth its price */
+
+/* Room for the tasks that would have to go for the machine to be empty soon; below 0: it can't be. */
+static double
+would_move (const HzbMachine *m, struct timespec now)
+{
+  double cpus = 0;
+  for (guint i = 0; i < m->tasks->len; i++)
+    {
+      const HzbTask *task = m->tasks->pdata[i];
+      if (remaining_s (task, now) < MOVE_LEFT_S || task->stopping)
+        continue;
+      if (task->job->spec->checkpoint_s <= 0 || task->job->spec->gang || task->state != HZB_TASK_RUNNING
+          || hzb_time_between (task->since, now) < MOVE_LEFT_S)
+        return -1;
+      cpus += task->job->spec->cpus;
+    }
+  return cpus;
+}
+
+void
+hzb_dispatch_consolidate (HzbDispatch *d, struct timespec now)
+{
+  double free = 0;
+
+  for (guint i = 0; i < d->machines->all->len; i++)
+    {
+      const HzbMachine *m = d->machines->all->pdata[i];
+      if (hzb_machine_usable (m))
+        free += m->type->cpus - m->cpus;
+    }
+  for (guint i = 0; i < d->jobs->active->len; i++)
+    {
+      const HzbJob *job = d->jobs->active->pdata[i];
+      if (job->state == HZB_JOB_ACCEPTED)
+        free -= (job->pending + job->listed) * job->spec->cpus;
+    }
+  for (guint i = 0; i < d->machines->all->len && free > 0; i++)
+    {
+      HzbMachine *m = d->machines->all->pdata[i];
+      double cpus;
+      if (m->state != HZB_MACHINE_ACTIVE || !m->spare || !m->type || m->cpus > MOVE_PART * m->type->cpus)
+        continue;
+      cpus = would_move (m, now);
+      if (cpus <= 0 || cpus > free)
+        continue;
+      free -= cpus;
+      for (guint k = 0; k < m->tasks->len; k++)
+        {
+          HzbTask *task = m->tasks->pdata[k];
+          if (remaining_s (task, now) >= MOVE_LEFT_S)
+            task->stopping = TRUE; /* it is told with the answer to the next report */
+        }
+    }
+}
+
 void
 hzb_dispatch_fill (HzbDispatch *d, HzbMachine *m, struct timespec now, GArray *orders)
 {
--- a/tests/test-dispatch.c
+++ b/tests/test-dispatch.c
@@ -186,6 +186,40 @@
   bench_down (&b);
 }
 
+/* A half-empty machine that is to go back is emptied of what can save, where there is room; what can't save, or is
+ * nearly over, stays, and nothing moves where others already wait for the room. */
+static void
+test_consolidate (void)
+{
+  Bench b;
+  HzbMachine *going, *staying, *busy;
+  HzbJob *saves, *loses;
+  struct timespec now;
+  bench_up (&b, 13);
+  going = bench_machine (&b, "big", "za", FALSE);
+  busy = bench_machine (&b, "big", "za", FALSE);
+  staying = bench_machine (&b, "small", "za", FALSE);
+  saves = bench_job (&b, "red", HZB_URGENCY_IDLE, 3, 2, 200);
+  loses = bench_job (&b, "red", HZB_URGENCY_IDLE, 1, 2, 200);
+  saves->spec->checkpoint_s = 20;
+  hzb_task_set_state (b.jobs, &saves->tasks[0], HZB_TASK_RUNNING, going);
+  hzb_task_set_state (b.jobs, &saves->tasks[1], HZB_TASK_RUNNING, busy);
+  hzb_task_set_state (b.jobs, &loses->tasks[0], HZB_TASK_RUNNING, busy);
+  hzb_task_set_state (b.jobs, &saves->tasks[2], HZB_TASK_RUNNING, staying);
+  going->spare = busy->spare = TRUE;
+  hzb_clock_advance (b.clock, 30);
+  now = hzb_clock_now (b.clock);
+  hzb_dispatch_consolidate (b.dispatch, now);
+  g_assert_true (saves->tasks[0].stopping);
+  g_assert_false (saves->tasks[1].stopping); /* its machine would not be empty for it */
+  g_assert_false (saves->tasks[2].stopping);
+  saves->tasks[0].stopping = FALSE;
+  bench_job (&b, "blue", HZB_URGENCY_NORMAL, 2, 2, 30); /* waits for the same room */
+  hzb_dispatch_consolidate (b.dispatch, now);
+  g_assert_false (saves->tasks[0].stopping);
+  bench_down (&b);
+}
+
 /* No order of reports starts more than the team's limit allows. */
 static void
 test_limit (void)
@@ -352,6 +386,7 @@
   g_test_add_func ("/dispatch/lag", test_lag);
   g_test_add_func ("/dispatch/limit", test_limit);
   g_test_add_func ("/dispatch/unplaceable-keeps-nothing", test_unplaceable_keeps_nothing);
+  g_test_add_func ("/dispatch/consolidate", test_consolidate);
   g_test_add_func ("/dispatch/largest-begins", test_largest_begins);
   g_test_add_func ("/dispatch/move-to-idle", test_move_to_idle);
   g_test_add_func ("/dispatch/preemption", test_preemption);
