--- a/src/controller.c
+++ b/src/controller.c
@@ -286,7 +286,7 @@
   c->jobs->lessee = TRUE;
   c->hold_since = hzb_clock_now (c->clock);
   hzb_machines_clear (c->machines);
-  hzb_leases_clear_own (c->leases);
+  hzb_lessee_clear (c->lessee);
   hzb_jobs_hold (c->jobs, c->block);
   set_hold (c, HZB_HOLD_LEASED, "the leader leased us a block");
 }
@@ -300,7 +300,7 @@
   set_hold (c, HZB_HOLD_NONE, why);
   hzb_jobs_let_go (c->jobs);
   hzb_machines_clear (c->machines);
-  hzb_leases_clear_own (c->leases);
+  hzb_lessee_clear (c->lessee);
   g_clear_pointer (&c->block, hzb_block_free);
 }
 
@@ -838,7 +838,10 @@
     begin_hold (c);
   else if (!hzb_election_leading (c->election) && c->hold > HZB_HOLD_LEASED)
     end_hold (c);
-  hzb_leases_tick (c->leases, now);
+  if (hzb_election_leading (c->election))
+    hzb_leases_tick (c->leases, now);
+  else
+    hzb_lessee_tick (c->lessee, now);
   if (c->hold == HZB_HOLD_LEASED && !hzb_time_before (now, c->next_dispatch))
     {
       c->next_dispatch = hzb_time_plus (now, 0.2);
@@ -930,6 +933,7 @@
   c->api = hzb_api_new (c);
   c->peers = hzb_peers_new (c);
   c->leases = hzb_leases_new (c);
+  c->lessee = hzb_lessee_new (c);
   c->metrics = hzb_metrics_new ();
   c->lease_blocks = TRUE;
   c->incarnation = g_strdup_printf ("%08x%08x", g_rand_int (c->rand), g_rand_int (c->rand));
@@ -944,6 +948,7 @@
 {
   hzb_api_free (c->api);
   hzb_leases_free (c->leases);
+  hzb_lessee_free (c->lessee);
   hzb_peers_free (c->peers);
   hzb_records_free (c->records);
   hzb_metrics_free (c->metrics);
--- a/src/controller.h
+++ b/src/controller.h
@@ -35,6 +35,7 @@
 
 typedef struct _HzbApi HzbApi;
 typedef struct _HzbLeases HzbLeases;
+typedef struct _HzbLessee HzbLessee;
 typedef struct _HzbRecords HzbRecords;
 typedef struct _HzbPeers HzbPeers;
 
@@ -54,6 +55,7 @@
   HzbBlock *block;
   HzbApi *api;
   HzbLeases *leases;
+  HzbLessee *lessee;
   HzbRecords *records;
   HzbMetrics *metrics;
   guint64 settings_version; /* of the operators' settings */
@@ -132,7 +134,7 @@
 /* gateway.c */
 void hzb_gateway_report (HzbController *c, HzbExchange *exchange);
 
-/* lease.c: blocks leased to other controllers */
+/* lease.c: blocks leased to other controllers, the leader's part */
 HzbLeases *hzb_leases_new (HzbController *c);
 void hzb_leases_free (HzbLeases *leases);
 void hzb_leases_tick (HzbLeases *leases, struct timespec now);
@@ -145,11 +147,15 @@
 void hzb_leases_durable (HzbLeases *leases, HzbTask *task); /* of a task that a lessee has finished */
 cJSON *hzb_leases_pack (HzbLeases *leases);
 void hzb_leases_cancelled (HzbLeases *leases, HzbJob *job);
-/* On a lessee. */
-void hzb_leases_clear_own (HzbLeases *leases);
-gboolean hzb_leases_valid (HzbLeases *leases);
-void hzb_leases_finished (HzbLeases *leases, const HzbTask *task, double ran_s);
-void hzb_leases_give_machine (HzbLeases *leases, HzbMachine *machine, const char *why);
+
+/* lessee.c: the block that was leased to this node */
+HzbLessee *hzb_lessee_new (HzbController *c);
+void hzb_lessee_free (HzbLessee *lessee);
+void hzb_lessee_tick (HzbLessee *lessee, struct timespec now);
+void hzb_lessee_clear (HzbLessee *lessee); /* a leased holding begins or ends */
+gboolean hzb_lessee_valid (HzbLessee *lessee);
+void hzb_lessee_finished (HzbLessee *lessee, const HzbTask *task, double ran_s);
+void hzb_lessee_give_machine (HzbLessee *lessee, HzbMachine *machine, const char *why);
 void hzb_controller_begin_leased (HzbController *c, guint64 token);
 void hzb_controller_end_leased (HzbController *c, const char *why);
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -82,7 +82,7 @@
           m->failures = m->failed_jobs = 0;
           g_clear_pointer (&m->last_failed_job, g_free);
           if (c->hold == HZB_HOLD_LEASED)
-            hzb_leases_finished (c->leases, task, ran);
+            hzb_lessee_finished (c->lessee, task, ran);
           else if (job->finished + job->done == job->n_tasks)
             hzb_controller_end_job (c, job);
           else
@@ -281,10 +281,10 @@
 static HzbMachine *
 leased_machine (HzbController *c, const HzbReport *report)
 {
-  HzbMachine *m = hzb_leases_valid (c->leases) ? hzb_machines_find (c->machines, report->host) : NULL;
+  HzbMachine *m = hzb_lessee_valid (c->lessee) ? hzb_machines_find (c->machines, report->host) : NULL;
   if (m && report->token > m->token)
     {
-      hzb_leases_give_machine (c->leases, m, "it has seen a newer token");
+      hzb_lessee_give_machine (c->lessee, m, "it has seen a newer token");
       return NULL;
     }
   return m;
@@ -405,7 +405,7 @@
     {
       take_report (c, m, report, now, orders);
       /* Starts only while nobody else can have been elected, or the lease is good; see docs/safety.md. */
-      if (m->unobeyed < DEAF_AFTER && (leads ? hzb_election_proven (c->election) : hzb_leases_valid (c->leases)))
+      if (m->unobeyed < DEAF_AFTER && (leads ? hzb_election_proven (c->election) : hzb_lessee_valid (c->lessee)))
         hzb_dispatch_fill (c->dispatch, m, now, orders);
     }
   else if (m->state == HZB_MACHINE_ACTIVE)
--- /dev/null
+++ b/src/lessee.c
@@ -0,0 +1,375 @@
+/* This node's part as a lessee: the block that the leader has leased to it. lease.c says how leasing goes. */
+#include "controller.h"
+#include "outbox.h"
+
+#include <string.h>
+
+#define ASK_S 0.4
+#define ASK_SOON_S 0.25 /* with news; a question costs both sides as much as a worker's report */
+#define ASK_TIMEOUT_MS 1500
+#define GIVE_UP_S 5.0   /* it lets go when the leader has not answered for so long: it sits on no machines */
+#define AHEAD 0.12      /* of the block's CPUs: tasks wanted beyond its room, so that no place waits for the next answer */
+#define KEEP_S 6.0      /* an unstarted task goes back to the leader after this */
+#define IDLE_S 10.0     /* and an idle machine */
+
+struct _HzbLessee
+{
+  HzbController *c;
+  gboolean asking;
+  guint64 token, in_number;
+  HzbOutbox out;
+  struct timespec asked, next_ask, answered, valid_until;
+};
+
+HzbLessee *
+hzb_lessee_new (HzbController *c)
+{
+  HzbLessee *lessee = g_new0 (HzbLessee, 1);
+  lessee->c = c;
+  return lessee;
+}
+
+void
+hzb_lessee_free (HzbLessee *lessee)
+{
+  hzb_outbox_clear (&lessee->out);
+  g_free (lessee);
+}
+
+gboolean
+hzb_lessee_valid (HzbLessee *lessee)
+{
+  return lessee->c->hold == HZB_HOLD_LEASED && hzb_time_before (hzb_clock_now (lessee->c->clock), lessee->valid_until);
+}
+
+static void
+ask_soon (HzbLessee *lessee)
+{
+  struct timespec soon = hzb_time_plus (lessee->asked, ASK_SOON_S);
+  if (hzb_time_before (soon, lessee->next_ask))
+    lessee->next_ask = soon;
+}
+
+void
+hzb_lessee_finished (HzbLessee *lessee, const HzbTask *task, double ran_s)
+{
+  cJSON *body = cJSON_CreateObject ();
+  hzb_tasks_add (cJSON_AddObjectToObject (body, "finished"), task);
+  cJSON_AddNumberToObject (body, "ranS", ran_s);
+  hzb_outbox_push (&lessee->out, body);
+  ask_soon (lessee);
+}
+
+void
+hzb_lessee_give_machine (HzbLessee *lessee, HzbMachine *m, const char *why)
+{
+  HzbController *c = lessee->c;
+  cJSON *body = cJSON_CreateObject (), *lost;
+
+  cJSON_AddStringToObject (body, "machine", m->name);
+  cJSON_AddStringToObject (body, "why", why);
+  cJSON_AddBoolToObject (body, "sick", m->wanted_back && !m->asked_back);
+  hzb_json_add_u64 (body, "session", m->session);
+  hzb_json_add_u64 (body, "seq", m->seq);
+  lost = cJSON_AddArrayToObject (body, "lost");
+  hzb_machine_empty_lists (c->jobs, m);
+  while (m->tasks->len)
+    {
+      HzbTask *task = m->tasks->pdata[m->tasks->len - 1];
+      guint before = m->tasks->len;
+      if (task->state == HZB_TASK_BOOKED)
+        hzb_task_set_state (c->jobs, task, HZB_TASK_PENDING, NULL);
+      else
+        {
+          cJSON *item = cJSON_CreateObject ();
+          cJSON_AddStringToObject (item, "job", task->job->uid);
+          cJSON_AddNumberToObject (item, "task", task->index);
+          hzb_json_add_u64 (item, "attempt", task->attempt);
+          cJSON_AddItemToArray (lost, item);
+          hzb_task_set_state (c->jobs, task, HZB_TASK_ELSEWHERE, NULL);
+        }
+      g_return_if_fail (m->tasks->len < before);
+    }
+  hzb_outbox_push (&lessee->out, body);
+  hzb_machine_set_state (c->machines, m, HZB_MACHINE_RETURNING, why);
+  hzb_machine_set_state (c->machines, m, HZB_MACHINE_GONE, "from this block, back to the leader");
+  hzb_machines_remove (c->machines, m);
+}
+
+static void
+task_granted (HzbTask *task, gpointer jobs)
+{
+  if (task->state == HZB_TASK_ELSEWHERE)
+    hzb_task_set_state (jobs, task, HZB_TASK_PENDING, NULL);
+}
+
+static void
+task_durable (HzbTask *task, gpointer jobs)
+{
+  if (task->state == HZB_TASK_FINISHED)
+    hzb_task_set_state (jobs, task, HZB_TASK_DONE, NULL);
+}
+
+static void
+take_batch (HzbLessee *lessee, const cJSON *batch)
+{
+  HzbController *c = lessee->c;
+  const cJSON *tasks = cJSON_GetObjectItemCaseSensitive (batch, "tasks"), *group;
+  const char *name = hzb_json_text (batch, "machine"), *back = hzb_json_text (batch, "back");
+  HzbJob *cancelled = hzb_json_text (batch, "cancelled") ? hzb_jobs_find (c->jobs, hzb_json_text (batch, "cancelled")) : NULL;
+
+  if (cancelled && cancelled->state == HZB_JOB_ACCEPTED)
+    cancelled->state = HZB_JOB_CANCELLED; /* as its record is, which this node may not have seen yet */
+  if (tasks)
+    {
+      cJSON *unknown = NULL;
+      cJSON_ArrayForEach (group, tasks)
+        {
+          HzbJob *job = hzb_jobs_find (c->jobs, group->string);
+          if (job && job->state == HZB_JOB_ACCEPTED)
+            hzb_jobs_activate (c->jobs, job);
+          if (!job || !job->tasks)
+            {
+              /* Not in this node's mirror yet, or over: back they go. */
+              if (!unknown)
+                unknown = cJSON_CreateObject ();
+              cJSON_AddItemToObject (unknown, group->string, cJSON_Duplicate (group, TRUE));
+            }
+        }
+      if (unknown)
+        {
+          cJSON *body = cJSON_CreateObject ();
+          cJSON_AddItemToObject (body, "returned", unknown);
+          hzb_outbox_push (&lessee->out, body);
+        }
+      hzb_tasks_each (c->jobs, tasks, task_granted, c->jobs);
+    }
+  hzb_tasks_each (c->jobs, cJSON_GetObjectItemCaseSensitive (batch, "durable"), task_durable, c->jobs);
+  if (name && !hzb_machines_find (c->machines, name) && hzb_json_text (batch, "type") && hzb_json_text (batch, "zone"))
+    {
+      HzbMachine *m = hzb_machines_add (c->machines, name, hzb_json_text (batch, "addr"), hzb_json_text (batch, "type"),
+                                        hzb_json_text (batch, "zone"),
+                                        cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (batch, "spot")), HZB_MACHINE_BOOTING);
+      m->recorded = m->vouched = TRUE;
+      hzb_machine_set_token (m, lessee->token);
+      m->session = hzb_json_u64 (batch, "session");
+      m->seq = hzb_json_u64 (batch, "seq");
+      m->heard = hzb_clock_now (c->clock);
+    }
+  if (back)
+    {
+      HzbMachine *m = hzb_machines_find (c->machines, back);
+      if (m)
+        m->asked_back = m->spare = TRUE;
+    }
+}
+
+/* The block's term was raised: nothing is concluded from its machines until they have reported under it. */
+static void
+raise_token (HzbLessee *lessee, guint64 token)
+{
+  HzbController *c = lessee->c;
+  lessee->token = c->block->token = token;
+  for (guint i = 0; i < c->machines->all->len; i++)
+    {
+      HzbMachine *m = c->machines->all->pdata[i];
+      hzb_machine_set_token (m, token);
+    }
+}
+
+static void
+on_answer (guint status, const char *body, gsize length, gpointer user)
+{
+  HzbLessee *lessee = user;
+  HzbController *c = lessee->c;
+  cJSON *root = status == 200 ? cJSON_ParseWithLength (body, length) : NULL;
+  guint64 term = hzb_json_u64 (root, "term"), token = hzb_json_u64 (root, "token");
+  const cJSON *batch;
+
+  lessee->asking = FALSE;
+  if (root && !hzb_election_leading (c->election) && term == hzb_election_leader_term (c->election))
+    {
+      if (cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (root, "end")))
+        hzb_controller_end_leased (c, "the leader took the block back");
+      else if (token)
+        {
+          if (c->hold == HZB_HOLD_NONE)
+            {
+              lessee->token = token;
+              hzb_controller_begin_leased (c, token);
+            }
+          else if (c->hold == HZB_HOLD_LEASED && token > lessee->token)
+            raise_token (lessee, token);
+          lessee->answered = hzb_clock_now (c->clock);
+          lessee->valid_until = hzb_time_plus (hzb_clock_now (c->clock), hzb_json_number (root, "leaseS", 0));
+          hzb_outbox_acknowledged (&lessee->out, hzb_json_u64 (root, "have"));
+          cJSON_ArrayForEach (batch, cJSON_GetObjectItemCaseSensitive (root, "batches"))
+            if (hzb_json_u64 (batch, "n") == lessee->in_number + 1)
+              {
+                lessee->in_number++;
+                take_batch (lessee, batch);
+              }
+          if (cJSON_GetArraySize (cJSON_GetObjectItemCaseSensitive (root, "batches")))
+            {
+              hzb_dispatch_run (c->dispatch, hzb_clock_now (c->clock));
+              ask_soon (lessee);
+            }
+        }
+    }
+  cJSON_Delete (root);
+}
+
+/* CPUs' worth of tasks that the block could start now, and a little beyond. */
+static double
+room (HzbController *c)
+{
+  double free = 0, all = 0, listed = 0;
+  for (guint i = 0; i < c->machines->all->len; i++)
+    {
+      const HzbMachine *m = c->machines->all->pdata[i];
+      if (!hzb_machine_usable (m))
+        continue;
+      free += MAX (0, m->type->cpus - m->cpus);
+      all += m->type->cpus;
+    }
+  for (guint i = 0; i < c->jobs->active->len; i++)
+    {
+      const HzbJob *job = c->jobs->active->pdata[i];
+      listed += (job->listed + job->pending) * job->spec->cpus;
+    }
+  return free + AHEAD * all - listed;
+}
+
+static void
+ask (HzbLessee *lessee, struct timespec now)
+{
+  HzbController *c = lessee->c;
+  const char *leader = hzb_election_leader (c->election), *addr = NULL;
+  cJSON *root, *running;
+
+  for (guint i = 0; leader && i < c->settings->peers->len; i++)
+    if (g_str_equal (((HzbPeer *) c->settings->peers->pdata[i])->node, leader))
+      addr = ((HzbPeer *) c->settings->peers->pdata[i])->address;
+  if (!addr || c->mirror != HZB_MIRROR_FOLLOWING)
+    return;
+  lessee->asking = TRUE;
+  lessee->asked = now;
+  root = hzb_peers_message (c->peers, HZB_PEER_BLOCK);
+  if (c->hold == HZB_HOLD_LEASED)
+    {
+      hzb_json_add_u64 (root, "token", lessee->token);
+      hzb_json_add_u64 (root, "have", lessee->in_number);
+      cJSON_AddItemToObject (root, "events", hzb_outbox_pack (&lessee->out));
+      cJSON_AddNumberToObject (root, "room", hzb_lessee_valid (lessee) ? room (c) : 0);
+      running = cJSON_AddObjectToObject (root, "running");
+      for (guint i = 0; i < c->jobs->active->len; i++)
+        {
+          const HzbJob *job = c->jobs->active->pdata[i];
+          if (job->running)
+            cJSON_AddNumberToObject (running, job->uid, job->running);
+        }
+    }
+  hzb_send (c->transport, "POST", addr, "/peer/v1/block", cJSON_PrintUnformatted (root), ASK_TIMEOUT_MS, on_answer, lessee);
+  cJSON_Delete (root);
+}
+
+/* Tasks that have not started for a while, and those of jobs that are over, go back. */
+static void
+give_tasks (HzbLessee *lessee, struct timespec now)
+{
+  HzbController *c = lessee->c;
+  cJSON *groups = NULL;
+
+  for (guint i = 0; i < c->jobs->active->len; i++)
+    {
+      HzbJob *job = c->jobs->active->pdata[i];
+      gboolean over = job->state != HZB_JOB_ACCEPTED;
+      for (guint k = 0; (job->pending || job->listed) && k < job->n_tasks; k++)
+        {
+          HzbTask *task = &job->tasks[k];
+          if (task->state != HZB_TASK_PENDING && task->state != HZB_TASK_LISTED)
+            continue;
+          if (!over && hzb_time_between (task->since, now) < KEEP_S)
+            continue;
+          if (task->state == HZB_TASK_LISTED)
+            hzb_task_set_state (c->jobs, task, HZB_TASK_PENDING, NULL);
+          g_queue_remove (&job->retry, task);
+          hzb_task_set_state (c->jobs, task, HZB_TASK_ELSEWHERE, NULL);
+          if (!groups)
+            groups = cJSON_CreateObject ();
+          hzb_tasks_add (groups, task);
+        }
+      if (over && !job->placed && !job->pending && !job->listed)
+        {
+          hzb_jobs_retire (c->jobs, job);
+          i--;
+        }
+    }
+  if (groups)
+    {
+      cJSON *body = cJSON_CreateObject ();
+      cJSON_AddItemToObject (body, "returned", groups);
+      hzb_outbox_push (&lessee->out, body);
+    }
+}
+
+static void
+tend_machines (HzbLessee *lessee, struct timespec now)
+{
+  HzbController *c = lessee->c;
+  for (guint i = c->machines->all->len; i-- > 0;)
+    {
+      HzbMachine *m = c->machines->all->pdata[i];
+      double quiet = hzb_time_between (m->heard, now);
+      if (quiet > 3 * c->settings->report_s)
+        hzb_lessee_give_machine (lessee, m, "it is silent");
+      else if (m->deaf)
+        hzb_lessee_give_machine (lessee, m, "it does not seem to hear its answers");
+      else if (m->wanted_back && m->tasks->len == 0)
+        hzb_lessee_give_machine (lessee, m, "it fails what it starts");
+      else if (m->state == HZB_MACHINE_DRAINING && m->tasks->len == 0)
+        {
+          m->wanted_back = TRUE;
+          hzb_lessee_give_machine (lessee, m, "the cloud takes it back");
+        }
+      else if (m->asked_back && m->tasks->len == 0)
+        hzb_lessee_give_machine (lessee, m, "the leader asked for it");
+      else if (m->state == HZB_MACHINE_ACTIVE && m->tasks->len == 0 && hzb_machine_listed (m) == 0
+               && hzb_time_between (m->idle_since, now) > IDLE_S)
+        hzb_lessee_give_machine (lessee, m, "it has nothing to do");
+    }
+}
+
+void
+hzb_lessee_tick (HzbLessee *lessee, struct timespec now)
+{
+  HzbController *c = lessee->c;
+
+  if (hzb_election_leading (c->election))
+    return;
+  if (c->hold == HZB_HOLD_LEASED
+      && (hzb_election_leader_term (c->election) != hzb_token_leader (lessee->token)))
+    hzb_controller_end_leased (c, "another leads");
+  if (c->hold == HZB_HOLD_LEASED && !hzb_lessee_valid (lessee))
+    hzb_controller_end_leased (c, "the lease is over");
+  if (c->hold == HZB_HOLD_LEASED && hzb_time_between (lessee->answered, now) > GIVE_UP_S)
+    hzb_controller_end_leased (c, "the leader does not answer");
+  if (c->hold == HZB_HOLD_LEASED)
+    {
+      tend_machines (lessee, now);
+      give_tasks (lessee, now);
+    }
+  if (hzb_election_leader (c->election) && !lessee->asking && !hzb_time_before (now, lessee->next_ask))
+    {
+      lessee->next_ask = hzb_time_plus (now, ASK_S);
+      ask (lessee, now);
+    }
+}
+
+/* Called when a leased holding begins or ends. */
+void
+hzb_lessee_clear (HzbLessee *lessee)
+{
+  hzb_outbox_clear (&lessee->out);
+  lessee->in_number = 0;
+}
--- /dev/null
+++ b/src/outbox.c
@@ -0,0 +1,92 @@
+#include "outbox.h"
+
+#define MOST_PER_MESSAGE 160u
+
+typedef struct
+{
+  guint64 number;
+  cJSON *body;
+  gboolean sent;
+} Message;
+
+static void
+message_free (gpointer data)
+{
+  cJSON_Delete (((Message *) data)->body);
+  g_free (data);
+}
+
+void
+hzb_outbox_push (HzbOutbox *outbox, cJSON *body)
+{
+  Message *message = g_new0 (Message, 1);
+  message->number = ++outbox->number;
+  message->body = body;
+  hzb_json_add_u64 (body, "n", message->number);
+  g_queue_push_tail (&outbox->waiting, message);
+}
+
+void
+hzb_outbox_acknowledged (HzbOutbox *outbox, guint64 number)
+{
+  Message *message;
+  while ((message = g_queue_peek_head (&outbox->waiting)) && message->number <= number)
+    message_free (g_queue_pop_head (&outbox->waiting));
+}
+
+cJSON *
+hzb_outbox_pack (const HzbOutbox *outbox)
+{
+  cJSON *list = cJSON_CreateArray ();
+  guint n = 0;
+  for (GList *l = outbox->waiting.head; l && n < MOST_PER_MESSAGE; l = l->next, n++)
+    {
+      Message *message = l->data;
+      message->sent = TRUE;
+      cJSON_AddItemToArray (list, cJSON_Duplicate (message->body, TRUE));
+    }
+  return list;
+}
+
+void
+hzb_outbox_clear (HzbOutbox *outbox)
+{
+  g_queue_clear_full (&outbox->waiting, message_free);
+  outbox->number = 0;
+}
+
+cJSON *
+hzb_outbox_unsent (HzbOutbox *outbox, const char *member)
+{
+  const Message *last = g_queue_peek_tail (&outbox->waiting);
+  return last && !last->sent && cJSON_HasObjectItem (last->body, member) ? last->body : NULL;
+}
+
+HzbTask *
+hzb_tasks_find (HzbJobs *jobs, const char *uid, int index)
+{
+  HzbJob *job = uid ? hzb_jobs_find (jobs, uid) : NULL;
+  return job && job->tasks && index >= 0 && (guint) index < job->n_tasks ? &job->tasks[index] : NULL;
+}
+
+void
+hzb_tasks_add (cJSON *groups, const HzbTask *task)
+{
+  cJSON *list = cJSON_GetObjectItemCaseSensitive (groups, task->job->uid);
+  if (!list)
+    list = cJSON_AddArrayToObject (groups, task->job->uid);
+  cJSON_AddItemToArray (list, cJSON_CreateNumber (task->index));
+}
+
+void
+hzb_tasks_each (HzbJobs *jobs, const cJSON *groups, HzbTaskFunc func, gpointer user)
+{
+  const cJSON *group, *item;
+  cJSON_ArrayForEach (group, groups)
+    cJSON_ArrayForEach (item, group)
+      {
+        HzbTask *task = cJSON_IsNumber (item) ? hzb_tasks_find (jobs, group->string, item->valueint) : NULL;
+        if (task)
+          func (task, user);
+      }
+}
