--- a/src/controller.h
+++ b/src/controller.h
@@ -38,6 +38,7 @@
 typedef struct _HzbLessee HzbLessee;
 typedef struct _HzbRecords HzbRecords;
 typedef struct _HzbPeers HzbPeers;
+typedef struct _HzbRentals HzbRentals;
 
 typedef struct
 {
@@ -62,6 +63,7 @@
   gboolean lease_blocks;
   char *incarnation;
   HzbPeers *peers;
+  HzbRentals *rentals;
 
   HzbMirrorState mirror;
   guint64 revision, load_revision;
@@ -72,15 +74,8 @@
   HzbHoldState hold;
   guint64 hold_epoch; /* told apart: answers to an earlier holding are dropped */
   char *hold_after;
-  gboolean asking_types, listing;
-  guint renting, returning;
-  guint64 rent_number;
-  char *list_after;
-  GHashTable *gone;   /* names given back: lists lag */
-  GHashTable *listed; /* names in the pages read so far */
-  struct timespec list_began;
   struct timespec last_tick; /* the timer's */
-  struct timespec hold_since, next_list, next_types, next_plan, next_return, next_dispatch, next_summary;
+  struct timespec hold_since, next_plan, next_dispatch, next_summary;
 } HzbController;
 
 HzbController *hzb_controller_new (HzbSettings *settings, HzbClock *clock, HzbTransport *transport, guint32 seed);
@@ -131,6 +126,13 @@
 cJSON *hzb_peers_message (HzbPeers *peers, HzbPeerKind kind); /* says who sends it, and which one it is */
 void hzb_controller_peer_request (HzbExchange *exchange, gpointer controller);
 
+/* rentals.c: what the holder has to do with the cloud */
+HzbRentals *hzb_rentals_new (HzbController *c);
+void hzb_rentals_free (HzbRentals *rentals);
+void hzb_rentals_reset (HzbRentals *rentals); /* a holding begins */
+void hzb_rentals_tick (HzbRentals *rentals, struct timespec now);
+gboolean hzb_rentals_returned (HzbRentals *rentals, const char *machine);
+
 /* gateway.c */
 void hzb_gateway_report (HzbController *c, HzbExchange *exchange);
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -311,7 +311,7 @@
       return NULL;
     }
   m = hzb_machines_find (c->machines, report->host);
-  if (!m && g_hash_table_contains (c->gone, report->host))
+  if (!m && hzb_rentals_returned (c->rentals, report->host))
     {
       hzb_exchange_reply (exchange, 503, hzb_wire_error ("this machine was returned"), 0);
       return NULL;
--- /dev/null
+++ b/src/rentals.c
@@ -0,0 +1,338 @@
+/* What the holder has to do with the cloud: types, renting, returning, and the list of what there is. */
+#include "controller.h"
+
+#include <math.h>
+
+#define FORGET_SILENT_S 12.0
+
+struct _HzbRentals
+{
+  HzbController *c;
+  gboolean asking_types, listing;
+  guint renting, returning; /* calls on their way */
+  guint64 rent_number;      /* of request names, in this term */
+  char *list_after;
+  GHashTable *gone;   /* names given back: lists lag */
+  GHashTable *listed; /* names in the pages read so far */
+  struct timespec list_began, next_list, next_types, next_return, next_plan;
+};
+
+static void
+on_types (guint status, const char *body, gsize length, gpointer user)
+{
+  HzbController *c = user;
+  HzbRentals *r = c->rentals;
+  GPtrArray *types = status == 200 ? hzb_wire_parse_types (body) : NULL;
+
+  r->asking_types = FALSE;
+  r->next_types = hzb_time_plus (hzb_clock_now (c->clock), types ? 60 : 1);
+  if (!types)
+    return;
+  hzb_machines_set_types (c->machines, types);
+}
+
+typedef struct
+{
+  HzbHeld held;
+  char *request, *type, *zone;
+  gboolean spot;
+  guint count, tries;
+} RentCall;
+
+static void
+rent_call_free (RentCall *call)
+{
+  g_free (call->request);
+  g_free (call->type);
+  g_free (call->zone);
+  g_free (call);
+}
+
+static void
+on_rented (guint status, const char *body, gsize length, gpointer user)
+{
+  RentCall *call = user;
+  HzbController *c = call->held.c;
+  HzbRentals *r = c->rentals;
+  struct timespec now = hzb_clock_now (c->clock);
+  g_autoptr (GPtrArray) names = status == 200 ? hzb_wire_parse_names (body) : NULL;
+  HzbRental rental = { NULL, call->zone, call->spot, call->count };
+
+  if (call->held.epoch != c->hold_epoch)
+    {
+      rent_call_free (call); /* what it rented shows in the list and by its workers */
+      return;
+    }
+  if (!names && status != 503 && status != 400 && call->tries++ < 4)
+    {
+      /* The same name again: if it was carried out, the answer is the same and nothing more is rented. */
+      hzb_cloud_rent (c->cloud, call->request, call->type, call->zone, call->spot, call->count, on_rented, call);
+      return;
+    }
+  r->renting--;
+  rental.type = hzb_machines_type (c->machines, call->type);
+  if (rental.type && (!names || names->len < call->count))
+    hzb_fleet_refused (c->fleet, &rental, now);
+  else if (rental.type)
+    hzb_fleet_granted (c->fleet, &rental);
+  for (guint i = 0; names && i < names->len; i++)
+    {
+      HzbMachine *m = hzb_machines_find (c->machines, names->pdata[i]);
+      if (!m)
+        m = hzb_machines_add (c->machines, names->pdata[i], NULL, call->type, call->zone, call->spot, HZB_MACHINE_BOOTING);
+      m->vouched = TRUE;
+    }
+  g_message ("asked for %u %s%s in %s: got %u", call->count, call->type, call->spot ? " (spot)" : "", call->zone,
+             names ? names->len : 0);
+  rent_call_free (call);
+}
+
+static void
+rent (HzbController *c, struct timespec now)
+{
+  HzbRentals *r = c->rentals;
+  g_autoptr (GArray) rentals = NULL;
+
+  if (r->renting || !hzb_election_proven (c->election) || !c->machines->types)
+    return;
+  rentals = hzb_fleet_rentals (c->fleet, now);
+  for (guint i = 0; i < rentals->len; i++)
+    {
+      const HzbRental *rental = &g_array_index (rentals, HzbRental, i);
+      RentCall *call = g_new0 (RentCall, 1);
+      call->held.c = c;
+      call->held.epoch = c->hold_epoch;
+      /* Terms are never used twice, so neither is a name. */
+      call->request = g_strdup_printf ("r-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, hzb_election_term (c->election), ++r->rent_number);
+      call->type = g_strdup (rental->type->name);
+      call->zone = g_strdup (rental->zone);
+      call->spot = rental->spot;
+      call->count = rental->count;
+      r->renting++;
+      hzb_cloud_rent (c->cloud, call->request, call->type, call->zone, call->spot, call->count, on_rented, call);
+    }
+}
+
+static void
+machine_is_gone (HzbController *c, HzbMachine *m)
+{
+  HzbRentals *r = c->rentals;
+  hzb_records_drop_machine (c->records, m);
+  hzb_machine_lose_tasks (c->jobs, m);
+  hzb_machine_set_state (c->machines, m, HZB_MACHINE_GONE, "the cloud has confirmed it");
+  if (g_hash_table_size (r->gone) > 2000)
+    g_hash_table_remove_all (r->gone);
+  g_hash_table_add (r->gone, g_strdup (m->name));
+  hzb_machines_remove (c->machines, m);
+}
+
+static void
+on_returned (guint status, const char *body, gsize length, gpointer user)
+{
+  HzbHeld *held = user;
+  HzbController *c = held->c;
+  HzbRentals *r = c->rentals;
+  g_autoptr (GPtrArray) names = held->data;
+
+  if (held->epoch == c->hold_epoch)
+    {
+      r->returning--;
+      for (guint i = 0; status == 200 && i < names->len; i++)
+        {
+          HzbMachine *m = hzb_machines_find (c->machines, names->pdata[i]);
+          if (m && m->state == HZB_MACHINE_RETURNING)
+            machine_is_gone (c, m);
+        }
+      if (status != 200)
+        r->next_return = hzb_time_plus (hzb_clock_now (c->clock), 1);
+    }
+  g_free (held);
+}
+
+/* Machines that are to go back: first they take nothing new, then they are emptied, then the cloud is told. */
+static void
+give_back (HzbController *c, struct timespec now)
+{
+  HzbRentals *r = c->rentals;
+  GPtrArray *names;
+
+  for (guint i = 0; i < c->machines->all->len; i++)
+    {
+      HzbMachine *m = c->machines->all->pdata[i];
+      double in_state = hzb_time_between (m->since, now);
+      if (m->state == HZB_MACHINE_LENT)
+        continue; /* its lessee is asked for it */
+      if (m->state == HZB_MACHINE_UNHEARD && in_state > c->settings->lease_s + 2)
+        m->wanted_back = TRUE; /* silence proves nothing: only the cloud can say that it is gone */
+      if (m->state == HZB_MACHINE_SILENT && in_state > FORGET_SILENT_S)
+        m->wanted_back = TRUE;
+      /* It is paid for as long as it is there. */
+      if (m->state == HZB_MACHINE_DRAINING && !m->tasks->len)
+        m->wanted_back = TRUE;
+      /* A short deafness costs no machine; one that stays deaf longer than its lease is of no use. */
+      if (m->deaf && hzb_time_between (m->deaf_since, now) > c->settings->lease_s + FORGET_SILENT_S)
+        m->wanted_back = TRUE;
+      if (!m->wanted_back || m->state == HZB_MACHINE_RETURNING)
+        continue;
+      if (hzb_machine_listed (m))
+        hzb_machine_empty_lists (c->jobs, m);
+      if (m->state == HZB_MACHINE_ACTIVE && m->tasks->len)
+        hzb_machine_set_state (c->machines, m, HZB_MACHINE_DRAINING, "to be returned");
+      if (m->state == HZB_MACHINE_UNHEARD ? in_state > c->settings->lease_s + 2 : m->tasks->len == 0 || in_state > 120)
+        hzb_machine_set_state (c->machines, m, HZB_MACHINE_RETURNING, "to be returned");
+    }
+  if (r->returning || hzb_time_before (now, r->next_return))
+    return;
+  names = g_ptr_array_new_with_free_func (g_free);
+  for (guint i = 0; i < c->machines->all->len && names->len < 100; i++)
+    {
+      const HzbMachine *m = c->machines->all->pdata[i];
+      if (m->state == HZB_MACHINE_RETURNING)
+        g_ptr_array_add (names, g_strdup (m->name));
+    }
+  if (!names->len)
+    {
+      g_ptr_array_unref (names);
+      return;
+    }
+  r->returning++;
+  hzb_cloud_return (c->cloud, names, on_returned, hzb_held_new (c, names));
+}
+
+/* Once listed, a machine stays listed until it is gone, and a list is at most twice the lag old: what has been
+ * there for longer than that and is not in a list that was asked for now is gone, with all that was on it. */
+static void
+drop_unlisted (HzbController *c, struct timespec now)
+{
+  HzbRentals *r = c->rentals;
+  double known = 3 * c->settings->list_lag_s + 5;
+
+  for (guint i = c->machines->all->len; i-- > 0;)
+    {
+      HzbMachine *m = c->machines->all->pdata[i];
+      if (g_hash_table_contains (r->listed, m->name) || m->state == HZB_MACHINE_RETURNING || m->state == HZB_MACHINE_LENT
+          || hzb_time_between (m->rented, r->list_began) < known)
+        continue;
+      /* One that has just reported is there, whatever the list says. */
+      if (hzb_time_is_set (m->heard) && hzb_time_between (m->heard, now) < 1.5 * c->settings->report_s + 1)
+        continue;
+      hzb_machine_set_state (c->machines, m, HZB_MACHINE_RETURNING, "the cloud lists it no more");
+      machine_is_gone (c, m);
+    }
+}
+
+static void
+on_listed (guint status, const char *body, gsize length, gpointer user)
+{
+  g_autofree HzbHeld *held = user;
+  HzbController *c = held->c;
+  HzbRentals *r = c->rentals;
+  gboolean more = FALSE;
+  g_autoptr (GPtrArray) listed = status == 200 ? hzb_wire_parse_list (body, &more) : NULL;
+  struct timespec now = hzb_clock_now (c->clock);
+
+  if (held->epoch != c->hold_epoch)
+    return;
+  r->listing = FALSE;
+  if (!r->list_after)
+    g_hash_table_remove_all (r->listed);
+  g_clear_pointer (&r->list_after, g_free);
+  for (guint i = 0; listed && i < listed->len; i++)
+    {
+      const HzbListed *l = listed->pdata[i];
+      HzbMachine *m = hzb_machines_find (c->machines, l->name);
+      g_free (r->list_after);
+      r->list_after = g_strdup (l->name);
+      g_hash_table_add (r->listed, g_strdup (l->name));
+      if (g_hash_table_contains (r->gone, l->name) || !l->type || !l->zone)
+        continue;
+      if (!m)
+        {
+          m = hzb_machines_add (c->machines, l->name, l->addr, l->type, l->zone, l->spot, HZB_MACHINE_BOOTING);
+          m->rented = hzb_time_plus (now, -l->age_s);
+        }
+      m->vouched = TRUE;
+      if (l->state == HZB_LISTED_FAILED && m->state == HZB_MACHINE_LENT)
+        m->wanted_back = TRUE;
+      else if (l->state == HZB_LISTED_FAILED && m->state != HZB_MACHINE_RETURNING)
+        {
+          m->wanted_back = TRUE;
+          hzb_machine_set_state (c->machines, m, HZB_MACHINE_RETURNING, "the cloud calls it failed");
+        }
+    }
+  if (!more)
+    g_clear_pointer (&r->list_after, g_free);
+  if (listed && !more)
+    drop_unlisted (c, now);
+  r->next_list = hzb_time_plus (now, more ? 0.3 : MAX (4, c->settings->list_lag_s));
+}
+
+void
+hzb_rentals_tick (HzbRentals *r, struct timespec now)
+{
+  HzbController *c = r->c;
+
+  if (!r->asking_types && !hzb_time_before (now, r->next_types)
+      && (!c->machines->types || hzb_election_leading (c->election)))
+    {
+      r->asking_types = TRUE;
+      hzb_cloud_types (c->cloud, on_types, c);
+    }
+  if (c->hold < HZB_HOLD_RECOVERING)
+    return;
+  give_back (c, now);
+  if (!hzb_time_before (now, r->next_plan))
+    {
+      r->next_plan = hzb_time_plus (now, 1);
+      if (hzb_election_proven (c->election))
+        {
+          g_autoptr (GPtrArray) back = hzb_fleet_returns (c->fleet, now);
+          for (guint i = 0; i < back->len; i++)
+            ((HzbMachine *) back->pdata[i])->wanted_back = TRUE;
+        }
+      rent (c, now);
+    }
+  if (!hzb_time_before (now, r->next_list) && !r->listing)
+    {
+      r->listing = TRUE;
+      if (!r->list_after)
+        r->list_began = now;
+      r->next_list = hzb_time_plus (now, 10);
+      hzb_cloud_list (c->cloud, r->list_after, on_listed, hzb_held_new (c, NULL));
+    }
+}
+
+void
+hzb_rentals_reset (HzbRentals *r)
+{
+  r->rent_number = 0;
+  r->renting = r->returning = 0;
+  r->listing = FALSE;
+  g_clear_pointer (&r->list_after, g_free);
+  r->next_list = r->next_return = (struct timespec){ 0 };
+}
+
+gboolean
+hzb_rentals_returned (HzbRentals *r, const char *machine)
+{
+  return g_hash_table_contains (r->gone, machine);
+}
+
+HzbRentals *
+hzb_rentals_new (HzbController *c)
+{
+  HzbRentals *r = g_new0 (HzbRentals, 1);
+  r->c = c;
+  r->listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  r->gone = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  return r;
+}
+
+void
+hzb_rentals_free (HzbRentals *r)
+{
+  g_hash_table_unref (r->gone);
+  g_hash_table_unref (r->listed);
+  g_free (r->list_after);
+  g_free (r);
+}
