Hand working machines over to lessees after a takeover

A machine may now be lent with its tasks: the lessee learns of every task that may be on it, concludes nothing before a report under its token, and one that knows such a job no better gives the machine back as it came.

--- a/src/controller.h
+++ b/src/controller.h
@@ -144,6 +144,8 @@
 void hzb_leases_request (HzbLeases *leases, HzbExchange *exchange, const cJSON *root);
 /* A machine without tasks has reported for the first time: whom it is lent to, or NULL. */
 const char *hzb_leases_offer (HzbLeases *leases, HzbMachine *machine);
+/* A machine with tasks has just reported: whom it is handed over to, or NULL. */
+const char *hzb_leases_hand_over (HzbLeases *leases, HzbMachine *machine);
 const char *hzb_leases_lessee (HzbLeases *leases, const HzbMachine *machine);
 guint64 hzb_leases_next_token (HzbLeases *leases);
 void hzb_leases_durable (HzbLeases *leases, HzbTask *task); /* of a task that a lessee has finished */
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -70,10 +70,11 @@
     {
       if (task->state == HZB_TASK_DONE)
         order (orders, HZB_ORDER_FORGET, job->uid, task->index, piece->attempt, 0);
-      else if (here || task->state == HZB_TASK_UNKNOWN || task->state == HZB_TASK_PENDING || task->state == HZB_TASK_LISTED)
+      else if (here || task->state == HZB_TASK_UNKNOWN || task->state == HZB_TASK_PENDING || task->state == HZB_TASK_LISTED
+               || task->state == HZB_TASK_ELSEWHERE)
         {
           double ran = here && task->state == HZB_TASK_RUNNING ? hzb_time_between (task->since, now) : 0;
-          if (task->state == HZB_TASK_LISTED)
+          if (task->state == HZB_TASK_LISTED || task->state == HZB_TASK_ELSEWHERE)
             hzb_task_set_state (c->jobs, task, HZB_TASK_PENDING, NULL);
           hzb_jobs_observe (c->jobs, job, ran);
           hzb_task_set_state (c->jobs, task, HZB_TASK_FINISHED, NULL);
@@ -103,10 +104,13 @@
 take_piece (HzbController *c, HzbMachine *m, const HzbPiece *piece, struct timespec now, GArray *orders)
 {
   HzbJob *job = hzb_jobs_find (c->jobs, piece->uid);
-  HzbTask *task = job && job->tasks && piece->task < job->n_tasks ? &job->tasks[piece->task] : NULL;
+  HzbTask *task;
   HzbTaskState state = task_state_of (piece->state);
   gboolean over = job && job->state != HZB_JOB_ACCEPTED;
 
+  if (job && !over && !job->tasks && c->hold == HZB_HOLD_LEASED)
+    hzb_jobs_activate (c->jobs, job); /* a result that came with a machine that was handed over */
+  task = job && job->tasks && piece->task < job->n_tasks ? &job->tasks[piece->task] : NULL;
   if (!job || (!task && !over))
     {
       /* The mirror may be a moment behind; only after a while it is nobody's. */
@@ -357,6 +361,7 @@
   g_autoptr (HzbReport) report = NULL;
   g_autoptr (GArray) orders = g_array_new (FALSE, FALSE, sizeof (HzbOrder));
   gboolean leads = hzb_election_leading (c->election);
+  const char *lessee;
   HzbMachine *m = NULL;
 
   if (!leads && c->hold != HZB_HOLD_LEASED)
@@ -404,6 +409,11 @@
       || (report->token == 0 && m->state == HZB_MACHINE_BOOTING && m->vouched && !report->pieces->len))
     {
       take_report (c, m, report, now, orders);
+      if (leads && report->notice_s < 0 && report->token == m->token && (lessee = hzb_leases_hand_over (c->leases, m)))
+        {
+          hzb_exchange_reply (exchange, 421, hzb_wire_redirect (lessee), 0);
+          return;
+        }
       /* Starts only while nobody else can have been elected, or the lease is good; see docs/safety.md. */
       if (m->unobeyed < DEAF_AFTER && (leads ? hzb_election_proven (c->election) : hzb_lessee_valid (c->lessee)))
         hzb_dispatch_fill (c->dispatch, m, now, orders);
--- a/src/lease.c
+++ b/src/lease.c
@@ -21,6 +21,8 @@
 #define MISSED_S 4.0     /* the leader takes a block back when its lessee was silent for so long */
 #define STEADY_S 3.0     /* and leases to it again once it has asked for so long */
 #define MOST_PER_ANSWER 160u
+#define UNLEVEL 0.7            /* a block this much smaller than the leader's gets machines that work */
+#define HAND_OVER_EVERY_S 0.25 /* each costs its machine a second or so */
 
 /* The leader's view of one lessee. */
 typedef struct
@@ -43,6 +45,7 @@
   HzbController *c;
   GArray *lessees; /* Lessee */
   guint tokens;    /* numbers used in this term */
+  struct timespec next_hand_over;
 };
 
 HzbLeases *
@@ -171,22 +174,15 @@
   return FALSE;
 }
 
-/* Blocks are kept level: the leader feeds each with work as it has room, so waiting work is level as well. */
-const char *
-hzb_leases_offer (HzbLeases *leases, HzbMachine *machine)
+/* The lessee whose block has the fewest CPUs, if fewer than the leader would then have times so much; or NULL. */
+static Lessee *
+needy_lessee (HzbLeases *leases, const HzbMachine *machine, double part, struct timespec now)
 {
   HzbController *c = leases->c;
-  struct timespec now = hzb_clock_now (c->clock);
   double own = 0, least;
   g_autofree double *cpus = g_new0 (double, leases->lessees->len + 1);
   Lessee *best = NULL;
 
-  if (!c->lease_blocks)
-    return NULL;
-  if ((machine->state != HZB_MACHINE_BOOTING && machine->state != HZB_MACHINE_ACTIVE) || machine->tasks->len
-      || hzb_machine_listed (machine) || !machine->type || machine->wanted_back || machine->spare || machine->deaf || !machine->vouched
-      || c->hold < HZB_HOLD_RECOVERING || gang_waits (c))
-    return NULL;
   for (guint i = 0; i < c->machines->all->len; i++)
     {
       const HzbMachine *m = c->machines->all->pdata[i];
@@ -196,7 +192,7 @@
         own += m->type->cpus;
     }
   /* One that works here already is lent only where that makes the blocks more level. */
-  least = machine->state == HZB_MACHINE_ACTIVE ? own - machine->type->cpus : own;
+  least = part * (machine->state == HZB_MACHINE_ACTIVE ? own - machine->type->cpus : own);
   for (guint i = 0; i < leases->lessees->len; i++)
     {
       Lessee *lessee = &g_array_index (leases->lessees, Lessee, i);
@@ -209,13 +205,98 @@
           best = lessee;
         }
     }
+  return best;
+}
+
+static gboolean
+may_lend (HzbController *c, const HzbMachine *machine)
+{
+  return c->lease_blocks && machine->type && !machine->wanted_back && !machine->spare && !machine->deaf && machine->vouched
+         && c->hold >= HZB_HOLD_RECOVERING && !gang_waits (c);
+}
+
+static void
+lend (HzbLeases *leases, Lessee *lessee, HzbMachine *machine)
+{
+  if (!lessee->token || machine->token >= lessee->token)
+    lessee->token = hzb_leases_next_token (leases);
+  machine->lessee = lessee->id;
+  machine->lend_sent = FALSE;
+  hzb_machine_set_state (leases->c->machines, machine, HZB_MACHINE_LENT, lessee->peer->node);
+}
+
+/* Blocks are kept level: the leader feeds each with work as it has room, so waiting work is level as well. */
+const char *
+hzb_leases_offer (HzbLeases *leases, HzbMachine *machine)
+{
+  HzbController *c = leases->c;
+  Lessee *best;
+
+  if ((machine->state != HZB_MACHINE_BOOTING && machine->state != HZB_MACHINE_ACTIVE) || machine->tasks->len
+      || hzb_machine_listed (machine) || !may_lend (c, machine))
+    return NULL;
+  best = needy_lessee (leases, machine, 1, hzb_clock_now (c->clock));
   if (!best)
     return NULL;
-  if (!best->token || machine->token >= best->token)
-    best->token = hzb_leases_next_token (leases);
-  machine->lessee = best->id;
-  machine->lend_sent = FALSE;
-  hzb_machine_set_state (c->machines, machine, HZB_MACHINE_LENT, best->peer->node);
+  lend (leases, best, machine);
+  return best->peer->node;
+}
+
+static cJSON *
+pack_machine (const HzbMachine *m)
+{
+  cJSON *body = cJSON_CreateObject ();
+  cJSON_AddStringToObject (body, "machine", m->name);
+  cJSON_AddStringToObject (body, "addr", m->addr ? m->addr : "");
+  cJSON_AddStringToObject (body, "type", m->type_name);
+  cJSON_AddStringToObject (body, "zone", m->zone);
+  cJSON_AddBoolToObject (body, "spot", m->spot);
+  hzb_json_add_u64 (body, "session", m->session);
+  hzb_json_add_u64 (body, "seq", m->seq);
+  return body;
+}
+
+/* After a takeover the leader has every machine, and under load hardly one is ever without tasks. Such a machine goes
+ * to a lessee with the names of all tasks that may be on it, those asked for in the last answer included; they count
+ * as granted. The lessee concludes nothing until the machine has reported under the block's token. */
+const char *
+hzb_leases_hand_over (HzbLeases *leases, HzbMachine *machine)
+{
+  HzbController *c = leases->c;
+  struct timespec now = hzb_clock_now (c->clock);
+  Lessee *best;
+  cJSON *body, *holds;
+
+  if (hzb_time_before (now, leases->next_hand_over) || machine->state != HZB_MACHINE_ACTIVE || !machine->confirmed
+      || !machine->recorded || machine->unobeyed || c->hold != HZB_HOLD_FULL || !may_lend (c, machine)
+      || !hzb_election_proven (c->election))
+    return NULL;
+  for (guint i = 0; i < machine->tasks->len; i++)
+    {
+      const HzbTask *task = machine->tasks->pdata[i];
+      if (task->stopping || task->state == HZB_TASK_BOOKED || task->state == HZB_TASK_SAVING || task->job->spec->gang
+          || task->job->spec->same_zone || task->job->spec->spread || task->job->state != HZB_JOB_ACCEPTED)
+        return NULL;
+    }
+  best = needy_lessee (leases, machine, UNLEVEL, now);
+  if (!best)
+    return NULL;
+  leases->next_hand_over = hzb_time_plus (now, HAND_OVER_EVERY_S);
+  hzb_machine_empty_lists (c->jobs, machine);
+  body = pack_machine (machine);
+  holds = cJSON_AddArrayToObject (body, "holds");
+  while (machine->tasks->len)
+    {
+      HzbTask *task = machine->tasks->pdata[machine->tasks->len - 1];
+      guint before = machine->tasks->len;
+      cJSON_AddItemToArray (holds, hzb_task_pack (task));
+      task->lessee = best->id;
+      hzb_task_set_state (c->jobs, task, HZB_TASK_GRANTED, NULL);
+      g_return_val_if_fail (machine->tasks->len < before, NULL);
+    }
+  lend (leases, best, machine);
+  machine->lend_sent = TRUE;
+  hzb_outbox_push (&best->out, body);
   return best->peer->node;
 }
 
@@ -228,19 +309,10 @@
     {
       HzbMachine *m = c->machines->all->pdata[i];
       Lessee *lessee = m->state == HZB_MACHINE_LENT ? lessee_of (leases, m->lessee) : NULL;
-      cJSON *body;
       if (!lessee || m->lend_sent || !m->recorded)
         continue;
       m->lend_sent = TRUE;
-      body = cJSON_CreateObject ();
-      cJSON_AddStringToObject (body, "machine", m->name);
-      cJSON_AddStringToObject (body, "addr", m->addr ? m->addr : "");
-      cJSON_AddStringToObject (body, "type", m->type_name);
-      cJSON_AddStringToObject (body, "zone", m->zone);
-      cJSON_AddBoolToObject (body, "spot", m->spot);
-      hzb_json_add_u64 (body, "session", m->session);
-      hzb_json_add_u64 (body, "seq", m->seq);
-      hzb_outbox_push (&lessee->out, body);
+      hzb_outbox_push (&lessee->out, pack_machine (m));
     }
 }
 
@@ -362,6 +434,8 @@
       task->lessee = lessee->id; /* said again after a takeover: it may be reaped */
       hzb_leases_durable (leases, task);
     }
+  else if (task->state == HZB_TASK_FINISHED)
+    task->lessee = lessee->id; /* of a machine that was handed over with its result */
   if (task->state != HZB_TASK_GRANTED || task->lessee != lessee->id)
     return;
   hzb_jobs_observe (c->jobs, task->job, lessee->ran_s);
--- a/src/lessee.c
+++ b/src/lessee.c
@@ -81,11 +81,7 @@
         hzb_task_set_state (c->jobs, task, HZB_TASK_PENDING, NULL);
       else
         {
-          cJSON *item = cJSON_CreateObject ();
-          cJSON_AddStringToObject (item, "job", task->job->uid);
-          cJSON_AddNumberToObject (item, "task", task->index);
-          hzb_json_add_u64 (item, "attempt", task->attempt);
-          cJSON_AddItemToArray (lost, item);
+          cJSON_AddItemToArray (lost, hzb_task_pack (task));
           hzb_task_set_state (c->jobs, task, HZB_TASK_ELSEWHERE, NULL);
         }
       g_return_if_fail (m->tasks->len < before);
@@ -110,6 +106,56 @@
     hzb_task_set_state (jobs, task, HZB_TASK_DONE, NULL);
 }
 
+/* A machine, with the tasks that may be on it. Nothing is concluded from it until it has reported under our token. */
+static void
+take_machine (HzbLessee *lessee, const cJSON *batch, const char *name)
+{
+  HzbController *c = lessee->c;
+  const cJSON *holds = cJSON_GetObjectItemCaseSensitive (batch, "holds"), *item;
+  gboolean known = TRUE;
+  HzbMachine *m;
+
+  cJSON_ArrayForEach (item, holds)
+    {
+      const char *uid = hzb_json_text (item, "job");
+      HzbJob *job = uid ? hzb_jobs_find (c->jobs, uid) : NULL;
+      HzbTask *task;
+      if (job && job->state == HZB_JOB_ACCEPTED)
+        hzb_jobs_activate (c->jobs, job);
+      task = hzb_tasks_find (c->jobs, uid, (int) hzb_json_number (item, "task", -1));
+      known = known && task && task->state == HZB_TASK_ELSEWHERE;
+    }
+  if (!known)
+    {
+      /* Of a job that is not in this node's mirror yet, or over: back it goes, as it came. */
+      cJSON *body = cJSON_CreateObject ();
+      cJSON_AddStringToObject (body, "machine", name);
+      cJSON_AddStringToObject (body, "why", "it holds tasks of jobs that are not known here");
+      hzb_json_add_u64 (body, "session", hzb_json_u64 (batch, "session"));
+      hzb_json_add_u64 (body, "seq", hzb_json_u64 (batch, "seq"));
+      cJSON_AddItemToObject (body, "lost", cJSON_Duplicate (holds, TRUE));
+      hzb_outbox_push (&lessee->out, body);
+      return;
+    }
+  m = hzb_machines_add (c->machines, name, hzb_json_text (batch, "addr"), hzb_json_text (batch, "type"),
+                        hzb_json_text (batch, "zone"),
+                        cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (batch, "spot")),
+                        holds ? HZB_MACHINE_UNHEARD : HZB_MACHINE_BOOTING);
+  m->recorded = m->vouched = TRUE;
+  hzb_machine_set_token (m, lessee->token);
+  m->session = hzb_json_u64 (batch, "session");
+  m->seq = hzb_json_u64 (batch, "seq");
+  m->heard = hzb_clock_now (c->clock);
+  cJSON_ArrayForEach (item, holds)
+    {
+      HzbTask *task = hzb_tasks_find (c->jobs, hzb_json_text (item, "job"), (int) hzb_json_number (item, "task", -1));
+      hzb_task_set_state (c->jobs, task, HZB_TASK_PENDING, NULL);
+      g_queue_remove (&task->job->retry, task);
+      task->attempt = hzb_json_u64 (item, "attempt");
+      hzb_task_set_state (c->jobs, task, cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (item, "runs")) ? HZB_TASK_RUNNING : HZB_TASK_FETCHING, m);
+    }
+}
+
 static void
 take_batch (HzbLessee *lessee, const cJSON *batch)
 {
@@ -146,16 +192,7 @@
     }
   hzb_tasks_each (c->jobs, cJSON_GetObjectItemCaseSensitive (batch, "durable"), task_durable, c->jobs);
   if (name && !hzb_machines_find (c->machines, name) && hzb_json_text (batch, "type") && hzb_json_text (batch, "zone"))
-    {
-      HzbMachine *m = hzb_machines_add (c->machines, name, hzb_json_text (batch, "addr"), hzb_json_text (batch, "type"),
-                                        hzb_json_text (batch, "zone"),
-                                        cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (batch, "spot")), HZB_MACHINE_BOOTING);
-      m->recorded = m->vouched = TRUE;
-      hzb_machine_set_token (m, lessee->token);
-      m->session = hzb_json_u64 (batch, "session");
-      m->seq = hzb_json_u64 (batch, "seq");
-      m->heard = hzb_clock_now (c->clock);
-    }
+    take_machine (lessee, batch, name);
   if (back)
     {
       HzbMachine *m = hzb_machines_find (c->machines, back);
