--- a/src/controller.c
+++ b/src/controller.c
@@ -458,8 +458,8 @@
       running += (job->running + job->lent_running) * job->spec->cpus;
     }
   g_message ("fleet: %u up, %u of them lent (%g CPUs: %g held, %g running; %g spare), %u booting (%g CPUs), %u other; %g CPUs' "
-             "worth wait",
-             up, lent, cpus, held, running, spare, booting, booting_cpus, other, waiting);
+             "worth wait; timers are %.0f ms late",
+             up, lent, cpus, held, running, spare, booting, booting_cpus, other, waiting, c->dispatch->lag_s * 1e3);
 }
 
 static void
--- a/src/lease.c
+++ b/src/lease.c
@@ -22,7 +22,8 @@
 #define STEADY_S 3.0     /* and leases to it again once it has asked for so long */
 #define MOST_PER_ANSWER 160u
 #define UNLEVEL 0.7            /* a block this much smaller than the leader's gets machines that work */
-#define HAND_OVER_EVERY_S 0.25 /* each costs its machine a second or so */
+#define HAND_OVER_EVERY_S 0.25 /* each costs its machine a second or so: */
+#define LATE_S 0.015           /* only a leader whose timers are so late on average hands working machines over */
 
 /* The leader's view of one lessee. */
 typedef struct
@@ -267,7 +268,7 @@
   Lessee *best;
   cJSON *body, *holds;
 
-  if (hzb_time_before (now, leases->next_hand_over) || machine->state != HZB_MACHINE_ACTIVE || !machine->confirmed
+  if (c->dispatch->lag_s < LATE_S || hzb_time_before (now, leases->next_hand_over) || machine->state != HZB_MACHINE_ACTIVE || !machine->confirmed
       || !machine->recorded || machine->unobeyed || c->hold != HZB_HOLD_FULL || !may_lend (c, machine)
       || !hzb_election_proven (c->election))
     return NULL;
@@ -279,7 +280,8 @@
         return NULL;
     }
   best = needy_lessee (leases, machine, UNLEVEL, now);
-  if (!best)
+  /* A higher token for the block would have all its machines wait for their next reports. */
+  if (!best || (best->token && machine->token >= best->token))
     return NULL;
   leases->next_hand_over = hzb_time_plus (now, HAND_OVER_EVERY_S);
   hzb_machine_empty_lists (c->jobs, machine);
