--- a/src/controller.c
+++ b/src/controller.c
@@ -23,14 +23,6 @@
       hzb_jobs_take_acceptance (c->jobs, item->key, item->value);
       c->next_dispatch = (struct timespec){ 0 };
     }
-  else if (g_str_equal (item->key, HZB_KEY_TYPES))
-    {
-      GPtrArray *types = item->value ? hzb_wire_unpack_types (item->value) : NULL;
-      if (types && !c->machines->types)
-        hzb_machines_set_types (c->machines, types);
-      else if (types)
-        g_ptr_array_unref (types);
-    }
   else if (g_str_equal (item->key, HZB_KEY_SETTINGS))
     hzb_admin_apply_settings (c, item->value, item->version);
   else
--- a/src/controller.h
+++ b/src/controller.h
@@ -12,7 +12,6 @@
 #define HZB_KEY_HOLDER "hzb/x/"
 #define HZB_KEY_FLUSH "hzb/x/flush"
 #define HZB_KEY_SETTINGS "hzb/a/settings"
-#define HZB_KEY_TYPES "hzb/a/types"
 
 #define HZB_TICK_MS 50
 
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -54,6 +54,12 @@
   return MAX (job->mean_s > 0 ? job->mean_s : job->spec->estimate_s, 0.1);
 }
 
+double
+hzb_spec_grace_s (const HzbSpec *spec)
+{
+  return spec->checkpoint_s > 0 ? spec->save_s + 1 : 0;
+}
+
 static double
 remaining_s (const HzbTask *task, struct timespec now)
 {
@@ -762,7 +768,7 @@
             order.uid = victim->job->uid;
             order.task = victim->index;
             order.attempt = victim->attempt;
-            order.grace_s = victim->job->spec->checkpoint_s > 0 ? victim->job->spec->save_s + 1 : 0;
+            order.grace_s = hzb_spec_grace_s (victim->job->spec);
             g_array_append_val (orders, order);
             cpus += victim->job->spec->cpus;
             gpus += victim->job->spec->gpus;
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -35,6 +35,7 @@
 /* One more task of the job may be started: its team's limit allows it, besides what goes first. */
 /* Tasks that can save leave machines that are to go back and are half empty, where others have room for them. */
 void hzb_dispatch_consolidate (HzbDispatch *d, struct timespec now);
+double hzb_spec_grace_s (const HzbSpec *spec); /* with which a task that can save is stopped */
 gboolean hzb_dispatch_team_may_use (HzbDispatch *dispatch, const HzbJob *job);
 void hzb_dispatch_started (HzbDispatch *dispatch, const HzbJob *job); /* one more was */
 /* The classes of waiting work, from priorities, guarantees and what the aims leave of time. */
--- a/src/election.c
+++ b/src/election.c
@@ -64,12 +64,6 @@
   g_free (e);
 }
 
-HzbElectionState
-hzb_election_state (HzbElection *e)
-{
-  return e->state;
-}
-
 gboolean
 hzb_election_leading (HzbElection *e)
 {
--- a/src/election.h
+++ b/src/election.h
@@ -24,7 +24,6 @@
 void hzb_election_step_down (HzbElection *election, const char *why);
 void hzb_election_stand_back (HzbElection *election, double seconds); /* let others try first */
 
-HzbElectionState hzb_election_state (HzbElection *election);
 gboolean hzb_election_leading (HzbElection *election);
 /* Nobody else can have been elected up to this moment. */
 gboolean hzb_election_proven (HzbElection *election);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -173,8 +173,7 @@
   if (over)
     order (orders, HZB_ORDER_STOP, job->uid, piece->task, piece->attempt, 0);
   else if (task && task->stopping && state != HZB_TASK_SAVING)
-    order (orders, HZB_ORDER_STOP, job->uid, piece->task, piece->attempt,
-           job->spec->checkpoint_s > 0 ? job->spec->save_s + 1 : 0);
+    order (orders, HZB_ORDER_STOP, job->uid, piece->task, piece->attempt, hzb_spec_grace_s (job->spec));
 }
 
 /* The cloud takes the machine soon: nothing new goes there, what can save does so in time, and what can neither save
@@ -208,8 +207,7 @@
       if (runs && spec->checkpoint_s > 0 ? left <= notice_s - spec->save_s - 1 : left <= HOPELESS * notice_s)
         continue;
       task->stopping = TRUE;
-      order (orders, HZB_ORDER_STOP, task->job->uid, task->index, task->attempt,
-             spec->checkpoint_s > 0 ? spec->save_s + 1 : 0);
+      order (orders, HZB_ORDER_STOP, task->job->uid, task->index, task->attempt, hzb_spec_grace_s (spec));
     }
 }
 
--- a/src/lease.c
+++ b/src/lease.c
@@ -268,8 +268,8 @@
   Lessee *best;
   cJSON *body, *holds;
 
-  if (c->dispatch->lag_s < LATE_S || hzb_time_before (now, leases->next_hand_over) || machine->state != HZB_MACHINE_ACTIVE || !machine->confirmed
-      || !machine->recorded || machine->unobeyed || c->hold != HZB_HOLD_FULL || !may_lend (c, machine)
+  if (c->dispatch->lag_s < LATE_S || hzb_time_before (now, leases->next_hand_over)
+      || machine->state != HZB_MACHINE_ACTIVE || !machine->confirmed || !machine->recorded || machine->unobeyed || c->hold != HZB_HOLD_FULL || !may_lend (c, machine)
       || !hzb_election_proven (c->election))
     return NULL;
   for (guint i = 0; i < machine->tasks->len; i++)
--- a/src/lessee.c
+++ b/src/lessee.c
@@ -149,10 +149,11 @@
   cJSON_ArrayForEach (item, holds)
     {
       HzbTask *task = hzb_tasks_find (c->jobs, hzb_json_text (item, "job"), (int) hzb_json_number (item, "task", -1));
+      gboolean runs = cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (item, "runs"));
       hzb_task_set_state (c->jobs, task, HZB_TASK_PENDING, NULL);
       g_queue_remove (&task->job->retry, task);
       task->attempt = hzb_json_u64 (item, "attempt");
-      hzb_task_set_state (c->jobs, task, cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (item, "runs")) ? HZB_TASK_RUNNING : HZB_TASK_FETCHING, m);
+      hzb_task_set_state (c->jobs, task, runs ? HZB_TASK_RUNNING : HZB_TASK_FETCHING, m);
     }
 }
 
--- a/src/store.c
+++ b/src/store.c
@@ -60,15 +60,6 @@
   return store->ever_served ? hzb_time_between (store->served, hzb_clock_now (store->clock)) : 1e9;
 }
 
-guint
-hzb_store_backlog (HzbStore *store)
-{
-  guint n = 0;
-  for (guint i = 0; i < HZB_STORE_N_PRIORITIES; i++)
-    n += store->waiting[i].length;
-  return n;
-}
-
 static void
 on_reply (guint status, const char *body, gsize length, gpointer user)
 {
--- a/src/store.h
+++ b/src/store.h
@@ -43,4 +43,3 @@
 
 /* Seconds since the service last answered as one that serves us; large when it never did. */
 double hzb_store_silence (HzbStore *store);
-guint hzb_store_backlog (HzbStore *store);
--- a/src/wire.c
+++ b/src/wire.c
@@ -427,8 +427,8 @@
 
 /* ---- cloud ---- */
 
-GPtrArray *
-hzb_wire_unpack_types (const cJSON *value)
+static GPtrArray *
+unpack_types (const cJSON *value)
 {
   const cJSON *item, *list = cJSON_GetObjectItemCaseSensitive (value, "flavors");
   GPtrArray *types;
@@ -457,35 +457,11 @@
   return types;
 }
 
-cJSON *
-hzb_wire_pack_types (const GPtrArray *types)
-{
-  cJSON *root = cJSON_CreateObject (), *list = cJSON_AddArrayToObject (root, "flavors");
-  for (guint i = 0; i < types->len; i++)
-    {
-      const HzbMachineType *type = types->pdata[i];
-      cJSON *item = cJSON_CreateObject ();
-      cJSON_AddStringToObject (item, "sku", type->name);
-      cJSON_AddNumberToObject (item, "cpus", type->cpus);
-      cJSON_AddNumberToObject (item, "gpus", type->gpus);
-      cJSON_AddNumberToObject (item, "ramGb", type->memory_gb);
-      cJSON_AddNumberToObject (item, "localGb", type->cache_gb);
-      cJSON_AddNumberToObject (item, "pullGbPerS", type->fetch_gb_per_s);
-      cJSON_AddNumberToObject (item, "price", type->price);
-      cJSON_AddNumberToObject (item, "lowPrice", type->spot_price);
-      cJSON_AddNumberToObject (item, "readyS", type->boot_s);
-      cJSON_AddItemToObject (item, "yards",
-                             cJSON_CreateStringArray ((const char *const *) type->zones, (int) g_strv_length (type->zones)));
-      cJSON_AddItemToArray (list, item);
-    }
-  return root;
-}
-
 GPtrArray *
 hzb_wire_parse_types (const char *body)
 {
   cJSON *root = cJSON_Parse (body);
-  GPtrArray *types = hzb_wire_unpack_types (root);
+  GPtrArray *types = unpack_types (root);
   cJSON_Delete (root);
   return types;
 }
--- a/src/wire.h
+++ b/src/wire.h
@@ -149,8 +149,6 @@
 /* cloud */
 extern const char hzb_path_types[], hzb_path_rent[], hzb_path_return[];
 GPtrArray *hzb_wire_parse_types (const char *body); /* HzbMachineType */
-cJSON *hzb_wire_pack_types (const GPtrArray *types);
-GPtrArray *hzb_wire_unpack_types (const cJSON *value);
 char *hzb_wire_rent (const char *request, const char *type, const char *zone, gboolean spot, guint count);
 GPtrArray *hzb_wire_parse_names (const char *body); /* char* */
 char *hzb_wire_return (const GPtrArray *names);
