--- a/src/api.c
+++ b/src/api.c
@@ -81,6 +81,24 @@
   g_free (accept);
 }
 
+static Batch *
+batch_new (HzbApi *api)
+{
+  Batch *batch = g_new0 (Batch, 1);
+  batch->api = api;
+  batch->entries = g_ptr_array_new ();
+  return batch;
+}
+
+static void
+batch_free (Batch *batch)
+{
+  g_ptr_array_unref (batch->entries);
+  g_free (batch->key);
+  cJSON_Delete (batch->record);
+  g_free (batch);
+}
+
 void
 hzb_api_free (HzbApi *api)
 {
@@ -105,6 +123,23 @@
   hzb_exchange_reply (exchange, 503, hzb_wire_error (why), 1);
 }
 
+static void
+give_up (Check *check, const char *why)
+{
+  unable (check->exchange, why);
+  check_free (check);
+}
+
+/* Whether a transaction failed by the record of this job's end. */
+static gboolean
+failed_by (const GPtrArray *failed, const char *uid)
+{
+  for (guint i = 0; failed && i < failed->len; i++)
+    if (g_str_equal ((char *) failed->pdata[i] + strlen (HZB_KEY_JOBS), uid))
+      return TRUE;
+  return FALSE;
+}
+
 static void
 reply_status (HzbApi *api, HzbExchange *exchange, const HzbJob *job, guint status, gboolean counts)
 {
@@ -163,21 +198,15 @@
       settle (api, check);
     }
   else
-    {
-      unable (check->exchange, "the state service can't be asked");
-      check_free (check);
-    }
-  g_ptr_array_unref (batch->entries);
-  g_free (batch);
+    give_up (check, "the state service can't be asked");
+  batch_free (batch);
 }
 
 static void
 read_check (HzbApi *api, Check *check)
 {
-  Batch *batch = g_new0 (Batch, 1);
+  Batch *batch = batch_new (api);
   g_autofree char *key = g_strconcat (HZB_KEY_JOBS, check->uid, NULL);
-  batch->api = api;
-  batch->entries = g_ptr_array_new ();
   g_ptr_array_add (batch->entries, check);
   hzb_store_get (api->c->store, HZB_STORE_READ, key, on_read, batch);
 }
@@ -195,13 +224,9 @@
       if (fresh)
         settle (api, check);
       else
-        {
-          unable (check->exchange, "the state service can't be asked");
-          check_free (check);
-        }
+        give_up (check, "the state service can't be asked");
     }
-  g_ptr_array_unref (batch->entries);
-  g_free (batch);
+  batch_free (batch);
   flush_syncs (api);
 }
 
@@ -213,9 +238,7 @@
 
   if (api->syncing || !api->syncs.length)
     return;
-  batch = g_new0 (Batch, 1);
-  batch->api = api;
-  batch->entries = g_ptr_array_new ();
+  batch = batch_new (api);
   while ((check = g_queue_pop_head (&api->syncs)))
     g_ptr_array_add (batch->entries, check);
   api->syncing++;
@@ -243,28 +266,21 @@
   for (guint i = 0; i < batch->entries->len; i++)
     {
       Check *check = batch->entries->pdata[i];
-      gboolean changed = FALSE;
       if (result == HZB_STORE_OK)
         settle (api, check);
       else if (result == HZB_STORE_CONFLICT)
         {
           /* A compare that failed on one key says nothing sure of the others: all are read again, the
            * changed ones from their records. */
-          for (guint k = 0; k < failed->len; k++)
-            changed = changed || g_str_equal ((char *) failed->pdata[k] + strlen (HZB_KEY_JOBS), check->uid);
-          if (changed || batch->entries->len == 1)
+          if (failed_by (failed, check->uid) || batch->entries->len == 1)
             read_check (api, check);
           else
             g_queue_push_head (&api->checks, check);
         }
       else
-        {
-          unable (check->exchange, "the state service can't be asked");
-          check_free (check);
-        }
+        give_up (check, "the state service can't be asked");
     }
-  g_ptr_array_unref (batch->entries);
-  g_free (batch);
+  batch_free (batch);
   flush_checks (api);
 }
 
@@ -280,9 +296,7 @@
   if (api->checking || !api->checks.length || hzb_time_before (now, api->next_check))
     return;
   api->next_check = hzb_time_plus (now, CHECK_EVERY_S);
-  batch = g_new0 (Batch, 1);
-  batch->api = api;
-  batch->entries = g_ptr_array_new ();
+  batch = batch_new (api);
   txn = hzb_wire_txn ();
   while (batch->entries->len < most && api->checks.length)
     {
@@ -335,8 +349,7 @@
   Check *check = batch->entries->pdata[0];
   HzbJob *job = hzb_jobs_find (api->c->jobs, check->uid);
 
-  g_ptr_array_unref (batch->entries);
-  g_free (batch);
+  batch_free (batch);
   if (result == HZB_STORE_OK && job)
     {
       guint64 revision = 0;
@@ -347,10 +360,7 @@
       settle (api, check);
     }
   else if (result == HZB_STORE_REFUSED)
-    {
-      unable (check->exchange, "the state service can't be asked");
-      check_free (check);
-    }
+    give_up (check, "the state service can't be asked");
   else
     sync_check (api, check);
 }
@@ -369,10 +379,8 @@
       check_free (check);
       return;
     }
-  batch = g_new0 (Batch, 1);
+  batch = batch_new (api);
   txn = hzb_wire_txn ();
-  batch->api = api;
-  batch->entries = g_ptr_array_new ();
   g_ptr_array_add (batch->entries, check);
   hzb_wire_txn_if (txn, key, 0);
   hzb_wire_txn_put (txn, key, hzb_jobs_pack_final (HZB_JOB_CANCELLED, job->n_tasks), 0);
@@ -398,9 +406,7 @@
     {
       Accept *accept = batch->entries->pdata[i];
       const char *uid = accept->spec->uid;
-      gboolean over = FALSE;
-      for (guint k = 0; failed && k < failed->len; k++)
-        over = over || g_str_equal ((char *) failed->pdata[k] + strlen (HZB_KEY_JOBS), uid);
+      gboolean over = failed_by (failed, uid);
       if (result == HZB_STORE_OK)
         {
           const HzbJob *job = hzb_jobs_find (c->jobs, uid);
@@ -427,10 +433,7 @@
         unable (accept->exchange, "the state service can't be asked");
       accept_free (accept);
     }
-  g_ptr_array_unref (batch->entries);
-  g_free (batch->key);
-  cJSON_Delete (batch->record);
-  g_free (batch);
+  batch_free (batch);
   flush_accepts (api);
 }
 
@@ -442,11 +445,9 @@
 
   while (api->accepting < 2 && api->accepts.length)
     {
-      Batch *batch = g_new0 (Batch, 1);
+      Batch *batch = batch_new (api);
       cJSON *txn = hzb_wire_txn ();
       gsize bytes = 0, most = (gsize) (c->settings->store_value_kb * 1024) - 64;
-      batch->api = api;
-      batch->entries = g_ptr_array_new ();
       batch->record = cJSON_CreateObject ();
       while (api->accepts.length && batch->entries->len < MIN (64, 4 * c->settings->store_txn_ops))
         {
@@ -472,9 +473,7 @@
       if (!batch->entries->len)
         {
           cJSON_Delete (txn);
-          cJSON_Delete (batch->record);
-          g_ptr_array_unref (batch->entries);
-          g_free (batch);
+          batch_free (batch);
           return;
         }
       batch->key = g_strdup_printf ("%s%s-%s-%u", HZB_KEY_ACCEPTED, c->settings->node, c->incarnation, ++api->records);
