--- a/tests/test-world.c
+++ b/tests/test-world.c
@@ -1168,7 +1168,9 @@
   job->told_done = FALSE;
   world_check_end (w);
   g_assert_true (has_broken (w, "starved", job->uid));
-  g_assert_true (has_broken (w, "starved", "of red 0 of 1 jobs"));
+  g_assert_true (has_broken (w, "starved", "of team red 0 of 1 jobs"));
+  g_assert_true (has_broken (w, "starved", "of class batch 0 of"));
+  g_assert_true (has_broken (w, "starved", "of the largest of class batch 0 of"));
   world_free (w);
 }
 
--- a/tests/world.c
+++ b/tests/world.c
@@ -1126,10 +1126,10 @@
       exchange->path = g_strdup ("/api/jobs");
       g_free (exchange->body);
       exchange->body = g_strdup_printf (
-          "{\"uid\":\"%s\",\"lane\":\"l\",\"owner\":\"%s\",\"shape\":\"%s\",\"urgency\":\"%s\",\"pieces\":%u,"
+          "{\"uid\":\"%s\",\"lane\":\"%s\",\"owner\":\"%s\",\"shape\":\"%s\",\"urgency\":\"%s\",\"pieces\":%u,"
           "\"cpus\":%g,\"gpus\":0,\"ramGb\":1,\"bundle\":\"img\",\"sizeGb\":0.5,\"flavors\":%s,\"yard\":%s,"
           "\"samePlace\":false,\"spread\":false,\"loaners\":%s,\"expectS\":%g,\"snapshotEveryS\":0,\"snapshotS\":0}",
-          job->uid, job->team, job->gang ? "ensemble" : "sweep", job->n % 3 == 0 ? "urgent" : "normal", job->n, job->cpus,
+          job->uid, job->lane, job->team, job->gang ? "ensemble" : "sweep", g_str_equal (job->lane, "pressing") ? "urgent" : "normal", job->n, job->cpus,
           types, zone, job->spot ? "true" : "false", job->run_s);
       job->submitted = TRUE;
     }
@@ -1162,6 +1162,7 @@
   job->uid = g_strdup_printf ("run-%06u", 100000 + w->jobs->len);
   job->team = g_strdup (team);
   job->n = n;
+  job->lane = n % 3 == 0 ? "pressing" : "batch";
   job->cpus = cpus;
   job->run_s = run_s;
   job->spot = TRUE;
@@ -1205,20 +1206,36 @@
   for (guint i = 0; i < w->jobs->len; i++)
     {
       const WorldJob *job = w->jobs->pdata[i];
-      guint of_team = 0, served = 0, largest = 0;
+      guint of_team = 0, of_class = 0, team_served = 0, class_served = 0, largest = 0, n_largest = 0, largest_served = 0;
       for (guint k = 0; k < w->jobs->len; k++)
         {
           const WorldJob *other = w->jobs->pdata[k];
-          if (!g_str_equal (other->team, job->team) || other->bad || other->told_cancelled)
+          gboolean same_class = g_str_equal (other->lane, job->lane), same_team = g_str_equal (other->team, job->team);
+          if (other->bad || other->told_cancelled)
             continue;
-          largest = MAX (largest, other->n);
-          of_team++;
-          served += other->told_done;
+          of_team += same_team;
+          team_served += same_team && other->told_done;
+          of_class += same_class;
+          class_served += same_class && other->told_done;
+          if (same_class && other->n > largest)
+            {
+              largest = other->n;
+              n_largest = largest_served = 0;
+            }
+          if (same_class && other->n == largest)
+            {
+              n_largest++;
+              largest_served += other->told_done;
+            }
         }
-      if (2 * served < of_team)
-        broken (w, "starved", "of %s %u of %u jobs are over", job->team, served, of_team);
+      if (2 * team_served < of_team)
+        broken (w, "starved", "of team %s %u of %u jobs are over", job->team, team_served, of_team);
+      if (2 * class_served < of_class)
+        broken (w, "starved", "of class %s %u of %u jobs are over", job->lane, class_served, of_class);
+      if (2 * largest_served < n_largest)
+        broken (w, "starved", "of the largest of class %s %u of %u are over", job->lane, largest_served, n_largest);
       if (job->n == largest && !job->bad && !job->told_cancelled && (job->began_at <= 0 || job->began_at - job->submit_at > 240))
-        broken (w, "starved", "%s, the largest of %s, began at %.0f", job->uid, job->team, job->began_at);
+        broken (w, "starved", "%s, the largest of class %s, began at %.0f", job->uid, job->lane, job->began_at);
     }
 }
 
--- a/tests/world.h
+++ b/tests/world.h
@@ -51,6 +51,7 @@
 typedef struct
 {
   char *uid, *team;
+  const char *lane; /* its class */
   guint n;
   double cpus, run_s;
   const char *zone, *type;
