--- /dev/null
+++ b/tests/test-scale.c
@@ -0,0 +1,257 @@
+/* Many machines: what a decision costs, counted, and that the rules hold while many fall together. Bounds are by count,
+ * nothing here looks at how long anything takes. */
+#include "support.h"
+#include "world.h"
+
+#define MACHINES 1800u
+
+static const WorldSize large = { .machines = MACHINES, .teams = 8, .team_max = 3000, .team_guarantee = 800, .report_s = 5,
+                                 .lease_s = 26.5, .cancel_s = 46.5, .store_rps = 800, .store_write_rps = 70, .txn_ops = 16,
+                                 .cloud_rps = 15, .rows = 500, .check_s = 0.5 };
+
+/* ---- what a decision costs ---- */
+
+static guint
+looks_at_reports (guint machines, guint jobs, guint *of_a_run)
+{
+  Bench b;
+  g_autoptr (GArray) orders = g_array_new (FALSE, FALSE, sizeof (HzbOrder));
+  struct timespec now;
+  guint before;
+
+  bench_up (&b, 7);
+  now = hzb_clock_now (b.clock);
+  for (guint i = 0; i < b.block->n_teams; i++)
+    b.block->cpus_allowed[i] = 1e9;
+  for (guint i = 0; i < machines; i++)
+    bench_machine (&b, "small", i % 2 ? "za" : "zb", TRUE);
+  for (guint i = 0; i < jobs; i++)
+    bench_job (&b, i % 2 ? "red" : "blue", HZB_URGENCY_NORMAL, 200, 1, 30);
+  for (guint i = 0; i < 20; i++) /* until every list is full */
+    hzb_dispatch_run (b.dispatch, now);
+  before = b.dispatch->looks;
+  hzb_dispatch_run (b.dispatch, now);
+  *of_a_run = b.dispatch->looks - before;
+  before = b.dispatch->looks;
+  for (guint i = 0; i < 20; i++)
+    hzb_dispatch_fill (b.dispatch, b.machines->all->pdata[i], now, orders);
+  before = b.dispatch->looks - before;
+  g_assert_cmpuint (orders->len, ==, 20 * 4);
+  bench_down (&b);
+  return before;
+}
+
+/* A report looks at a sample of lists, a run of placing at so many machines, however many there are. */
+static void
+test_decisions (void)
+{
+  static const guint fleets[] = { 40, 400, 1200, MACHINES };
+  for (guint i = 0; i < G_N_ELEMENTS (fleets); i++)
+    {
+      guint run, reports = looks_at_reports (fleets[i], 200, &run);
+      g_test_message ("%u machines: %u looks for 20 reports, %u for a run", fleets[i], reports, run);
+      /* Four starts a report, each after a look at no more than 32 lists, twice. */
+      g_assert_cmpuint (reports, <=, 20 * (4 + 1) * 2 * 32);
+      g_assert_cmpuint (run, <=, 20000 + 400 * 8 + 200 * 8);
+      /* What a look at every machine for every waiting job would take: beyond the bound where there are many. */
+      if (fleets[i] >= 400)
+        g_assert_cmpuint (200 * fleets[i], >, 20000 + 400 * 8 + 200 * 8);
+    }
+}
+
+/* ---- worlds ---- */
+
+static void
+expect_no_fault (World *w, const char *what)
+{
+  for (guint i = 0; i < w->broken->len && i < 5; i++)
+    g_test_message ("%s", (char *) w->broken->pdata[i]);
+  if (w->broken->len)
+    g_error ("%s: %s", what, (char *) w->broken->pdata[0]);
+}
+
+static void
+many_jobs (World *w, guint n, double over_s, double run_s)
+{
+  for (guint i = 0; i < n; i++)
+    {
+      g_autofree char *team = i % 8 < 2 ? g_strdup (i % 8 ? "blue" : "red") : g_strdup_printf ("team-%02u", i % 8);
+      world_add_job (w, 1 + over_s * i / n, team, (guint) g_rand_int_range (w->rand, 10, 60), 1,
+                     g_rand_double_range (w->rand, 0.5 * run_s, 1.5 * run_s))->spot = TRUE;
+    }
+}
+
+/* A fleet of this size at work. */
+static World *
+large_world (guint32 seed, guint machines, guint jobs, double run_s)
+{
+  World *w = world_new_sized (seed, &large);
+  for (guint i = 0; i < machines; i++)
+    world_add_machine (w, i % 3 ? "small" : "big", i % 2 ? "za" : "zb", TRUE, g_rand_double_range (w->rand, 1, 5));
+  many_jobs (w, jobs, 10, run_s);
+  world_run (w, 25);
+  expect_no_fault (w, "a large fleet at work");
+  return w;
+}
+
+static guint
+running (World *w)
+{
+  guint n = 0;
+  for (guint i = 0; i < w->machines->len; i++)
+    {
+      const WorldMachine *m = w->machines->pdata[i];
+      for (guint k = 0; k < m->tasks->len && !m->gone; k++)
+        n += ((WorldTask *) m->tasks->pdata[k])->state == 2;
+    }
+  return n;
+}
+
+static guint
+alive (World *w)
+{
+  guint n = 0;
+  for (guint i = 0; i < w->machines->len; i++)
+    n += !((WorldMachine *) w->machines->pdata[i])->gone && !((WorldMachine *) w->machines->pdata[i])->failed;
+  return n;
+}
+
+static void
+expect_over (World *w, const char *what)
+{
+  world_check_end (w);
+  expect_no_fault (w, what);
+  for (guint i = 0; i < w->jobs->len; i++)
+    {
+      const WorldJob *job = w->jobs->pdata[i];
+      if (!job->told_done && !job->told_cancelled)
+        g_error ("%s: %s is not over", what, job->uid);
+    }
+}
+
+/* Half of the machines stop within three seconds. */
+static void
+test_half_falls (void)
+{
+  World *w = large_world (11, MACHINES, 150, 60);
+  guint rentals;
+  for (guint i = 0; i < w->machines->len; i += 2)
+    {
+      WorldMachine *m = w->machines->pdata[i];
+      m->failed = TRUE;
+      g_ptr_array_set_size (m->tasks, 0);
+      if (i % 600 == 0)
+        world_run (w, w->now + 0.5);
+    }
+  rentals = w->rentals;
+  world_run (w, w->now + 60);
+  expect_no_fault (w, "half falls");
+  /* Within the cloud's rate of calls, and no more than what lacks. */
+  g_assert_cmpuint (w->rentals - rentals, <, 60 * 15);
+  g_assert_cmpuint (alive (w), <=, MACHINES);
+  world_run (w, 400);
+  expect_over (w, "half falls");
+  world_free (w);
+}
+
+/* The leader ends while three hundred machines are silent: the others' work goes on and new work starts at once. */
+static void
+test_takeover (void)
+{
+  World *w = large_world (12, MACHINES, 150, 200);
+  guint started, cut = 0, written, at = (guint) MAX (world_leader (w), 0);
+  double began;
+  for (guint i = 0; i < w->machines->len && cut < 300; i++)
+    {
+      WorldMachine *m = w->machines->pdata[i];
+      m->cut = m->up && i % 5 == 0;
+      cut += m->cut;
+    }
+  world_crash (w, at);
+  began = w->now;
+  many_jobs (w, 20, 5, 10);
+  started = w->started;
+  written = w->written;
+  world_run (w, began + 25); /* no lease is over, no machine can have been given back */
+  expect_no_fault (w, "takeover");
+  g_assert_cmpint (world_leader (w), !=, -1);
+  g_assert_cmpuint (w->started - started, >, 100);
+  g_assert_cmpuint (w->written - written, <, 25 * 70);
+  world_start (w, at);
+  for (guint i = 0; i < w->machines->len; i++)
+    ((WorldMachine *) w->machines->pdata[i])->cut = FALSE;
+  world_run (w, 700);
+  expect_over (w, "takeover");
+  world_free (w);
+}
+
+/* All nodes begin anew with the records of a day. */
+static void
+test_begin_anew (void)
+{
+  World *w = large_world (13, MACHINES, 200, 100);
+  guint rows, requests, work = running (w);
+  double began;
+  for (guint i = 0; i < WORLD_NODES; i++)
+    world_crash (w, i);
+  world_run (w, w->now + 1);
+  rows = w->rows_read;
+  requests = w->requests;
+  for (guint i = 0; i < WORLD_NODES; i++)
+    world_start (w, i);
+  began = w->now;
+  world_run (w, began + 8);
+  g_assert_cmpint (world_leader (w), !=, -1);
+  for (guint i = 0; i < WORLD_NODES; i++)
+    g_assert_true (hzb_controller_ready (w->nodes[i].c));
+  /* Each reads what there is once, and the leader the holder's part. */
+  g_assert_cmpuint (w->rows_read - rows, <=, (WORLD_NODES + 1) * g_hash_table_size (w->kv) + 20);
+  g_assert_cmpuint (w->requests - requests, <, 8 * 800);
+  world_run (w, began + 24);
+  /* Nothing that ran was lost: no lease has ended. */
+  for (guint i = 0; i < w->machines->len; i++)
+    g_assert_cmpuint (((WorldMachine *) w->machines->pdata[i])->session, ==, 1);
+  g_assert_cmpuint (running (w), >, work / 2);
+  expect_no_fault (w, "begin anew");
+  world_run (w, 700);
+  expect_over (w, "begin anew");
+  world_free (w);
+}
+
+/* The leader stands still for longer than its lease while its clock runs on; another leads meanwhile. */
+static void
+test_stands_still (void)
+{
+  World *w = large_world (14, 900, 120, 40);
+  int old = world_leader (w);
+  g_assert_cmpint (old, !=, -1);
+  w->nodes[old].stands = TRUE;
+  world_run (w, w->now + 22);
+  world_wake (w, (guint) old);
+  world_run (w, w->now + 3);
+  g_assert_false (hzb_election_leading (w->nodes[old].c->election));
+  g_assert_cmpint (world_leader (w), !=, -1);
+  /* And a lessee. */
+  old = (world_leader (w) + 1) % WORLD_NODES;
+  w->nodes[old].stands = TRUE;
+  world_run (w, w->now + 13);
+  world_wake (w, (guint) old);
+  world_run (w, w->now + 30);
+  expect_no_fault (w, "stands still");
+  world_run (w, 500);
+  expect_over (w, "stands still");
+  world_free (w);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_log_set_always_fatal (G_LOG_LEVEL_ERROR);
+  g_test_add_func ("/scale/decisions", test_decisions);
+  g_test_add_func ("/scale/half-falls", test_half_falls);
+  g_test_add_func ("/scale/takeover", test_takeover);
+  g_test_add_func ("/scale/begin-anew", test_begin_anew);
+  g_test_add_func ("/scale/stands-still", test_stands_still);
+  return g_test_run ();
+}
