Placing costs no look at every machine for every task, report or question

A profile of a world with 1,800 machines shows nine tenths of our own code in find_move(), start_waiting() and hzb_dispatch_choose(): each looked at every machine or job for every task or report, comparing image names as strings. Change: one search a job and run instead of one a task (the same choice: only the machine that took the task has another workload), at most 20,000 looks a run and samples beyond; moves look at a sample of lists; reports use the order of the last run; image names are interned; wants of the fleet and the blocks' sizes are counted once. Ruled out: the state service (no request refused), the cloud.

--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -25,12 +25,22 @@
   d->h = 0.5;
   d->list_ahead_s = 8;
   d->sample = 8;
+  for (guint c = 0; c < HZB_N_CLASSES; c++)
+    {
+      d->waiting[c] = g_ptr_array_new ();
+      d->listers[c] = g_ptr_array_new ();
+    }
   return d;
 }
 
 void
 hzb_dispatch_free (HzbDispatch *d)
 {
+  for (guint c = 0; c < HZB_N_CLASSES; c++)
+    {
+      g_ptr_array_unref (d->waiting[c]);
+      g_ptr_array_unref (d->listers[c]);
+    }
   g_free (d->ahead_cpus);
   g_free (d->ahead_gpus);
   g_free (d);
@@ -97,7 +107,7 @@
     {
       const HzbTask *task = m->tasks->pdata[i];
       if (!g_hash_table_contains (m->images, task->job->spec->image))
-        g_hash_table_add (m->expected, g_strdup (task->job->spec->image));
+        g_hash_table_add (m->expected, g_ref_string_acquire (task->job->spec->image));
     }
   for (guint i = 0; i < m->tasks->len; i++)
     {
@@ -156,37 +166,140 @@
   return !job->spec->spread || here + 1 <= (job->n_tasks + 1) / 2;
 }
 
-HzbMachine *
-hzb_dispatch_choose (HzbDispatch *d, HzbJob *job, struct timespec now)
+/* ---- the search for the least U + h/v ---- */
+
+/* One job's: its tasks are all alike, so the machines are looked at once, and after a task was sent only the machine that
+ * took it has another workload. What is found is the same as by looking at every machine for every task. */
+typedef struct
+{
+  HzbDispatch *d;
+  HzbJob *job;
+  struct timespec now;
+  double *speeds; /* by type */
+  GArray *heap;   /* Offer, the least first */
+} Search;
+
+typedef struct
+{
+  double cost;
+  guint at; /* of two equal offers the earlier machine's goes first */
+  HzbMachine *m;
+} Offer;
+
+static double
+offer_cost (const Search *search, HzbMachine *m)
+{
+  HzbEstimate *estimate = &m->estimates[search->job->class];
+  hzb_estimate_shift (estimate, search->now);
+  return hzb_estimate_mean (estimate) + search->d->h * hzb_job_mean_s (search->job) / search->speeds[m->type->index]
+         + fetch_s (m, search->job->spec);
+}
+
+static gboolean
+may_take (const Search *search, const HzbMachine *m)
+{
+  const HzbSpec *spec = search->job->spec;
+  return hzb_machine_usable (m) && search->speeds[m->type->index] >= 1 /* those that hold none are skipped */
+         && (spec->spot || !m->spot) && (!spec->zone || g_str_equal (spec->zone, m->zone))
+         && !(m->last_failed_job && g_str_equal (m->last_failed_job, search->job->uid));
+}
+
+static gboolean
+goes_first (const Offer *a, const Offer *b)
+{
+  return a->cost < b->cost || (a->cost == b->cost && a->at < b->at);
+}
+
+static void
+sift_down (GArray *heap, guint at)
+{
+  Offer *offers = (Offer *) (gpointer) heap->data;
+  for (;;)
+    {
+      guint least = at;
+      for (guint child = 2 * at + 1; child <= 2 * at + 2 && child < heap->len; child++)
+        if (goes_first (&offers[child], &offers[least]))
+          least = child;
+      if (least == at)
+        return;
+      Offer swap = offers[at];
+      offers[at] = offers[least];
+      offers[least] = swap;
+      at = least;
+    }
+}
+
+static void
+search_clear (Search *search)
 {
-  guint n = d->machines->all->len, class = job->class;
-  guint looks = d->lagging && d->sample < n ? d->sample : n;
-  guint first = looks < n ? (guint) g_rand_int_range (d->rand, 0, (gint32) n) : 0;
-  guint step = 1;
-  HzbMachine *best = NULL;
-  double least = INFINITY;
+  g_free (search->speeds);
+  g_array_unref (search->heap);
+}
 
-  if (looks < n && n > 2)
-    step = n / looks;
+G_DEFINE_AUTO_CLEANUP_CLEAR_FUNC (Search, search_clear)
+
+static void
+search_begin (Search *search, HzbDispatch *d, HzbJob *job, struct timespec now)
+{
+  GPtrArray *types = d->machines->types;
+  search->d = d;
+  search->job = job;
+  search->now = now;
+  search->heap = g_array_new (FALSE, FALSE, sizeof (Offer));
+  search->speeds = g_new0 (double, types ? types->len + 1 : 1);
+  for (guint i = 0; types && i < types->len; i++)
+    search->speeds[i] = hzb_type_speed (types->pdata[i], job->spec);
+}
+
+/* Looks at some machines, or at all (looks 0). */
+static void
+search_look (Search *search, guint looks)
+{
+  HzbDispatch *d = search->d;
+  guint n = d->machines->all->len;
+  gboolean some = looks && looks < n;
+  guint first = some ? (guint) g_rand_int_range (d->rand, 0, (gint32) n) : 0, step = some ? n / looks : 1;
+
+  g_array_set_size (search->heap, 0);
+  if (!some)
+    looks = n;
+  d->looks += looks;
   for (guint i = 0; i < looks; i++)
     {
-      HzbMachine *m = d->machines->all->pdata[(first + i * step) % n];
-      double u, v;
-      if (!hzb_machine_usable (m) || !hzb_machine_allowed (m, job->spec)
-          || g_strcmp0 (m->last_failed_job, job->uid) == 0)
+      Offer offer = { 0, (first + i * step) % n, NULL };
+      offer.m = d->machines->all->pdata[offer.at];
+      if (!may_take (search, offer.m))
         continue;
-      v = hzb_type_speed (m->type, job->spec);
-      if (v < 1)
-        continue; /* holds none: skipped */
-      hzb_estimate_shift (&m->estimates[class], now);
-      u = hzb_estimate_mean (&m->estimates[class]) + d->h * hzb_job_mean_s (job) / v + fetch_s (m, job->spec);
-      if (u < least)
-        {
-          least = u;
-          best = m;
-        }
+      offer.cost = offer_cost (search, offer.m);
+      g_array_append_val (search->heap, offer);
     }
-  return best;
+  for (guint i = search->heap->len / 2; i-- > 0;)
+    sift_down (search->heap, i);
+}
+
+/* NULL: no machine may hold it. */
+static HzbMachine *
+search_best (const Search *search)
+{
+  return search->heap->len ? g_array_index (search->heap, Offer, 0).m : NULL;
+}
+
+/* A task was sent to the best. */
+static void
+search_sent (Search *search)
+{
+  Offer *best = &g_array_index (search->heap, Offer, 0);
+  best->cost = offer_cost (search, best->m);
+  sift_down (search->heap, 0);
+}
+
+HzbMachine *
+hzb_dispatch_choose (HzbDispatch *d, HzbJob *job, struct timespec now)
+{
+  g_auto (Search) search = { 0 };
+  search_begin (&search, d, job, now);
+  search_look (&search, d->lagging ? d->sample : 0);
+  return search_best (&search);
 }
 
 /* Seconds that the tasks of this class and higher ones in the machine's list will take it. */
@@ -211,7 +324,7 @@
 
   hzb_task_set_state (d->jobs, task, HZB_TASK_LISTED, m);
   if (!g_hash_table_contains (m->images, task->job->spec->image))
-    g_hash_table_add (m->expected, g_strdup (task->job->spec->image));
+    g_hash_table_add (m->expected, g_ref_string_acquire (task->job->spec->image));
   for (guint c = 0; c <= class; c++)
     {
       hzb_estimate_shift (&m->estimates[c], now);
@@ -424,7 +537,7 @@
 static gboolean
 halted_by_gang (HzbDispatch *d, const HzbMachine *m, guint class, struct timespec now)
 {
-  for (guint i = 0; i < d->jobs->active->len; i++)
+  for (guint i = 0; d->gang_waits && i < d->jobs->active->len; i++)
     {
       const HzbJob *job = d->jobs->active->pdata[i];
       if (job->spec->gang && job->state == HZB_JOB_ACCEPTED && job->pending == job->n_tasks
@@ -451,6 +564,19 @@
   return (spec->checkpoint_s > 0 ? spec->save_s : hzb_time_between (task->since, now)) * spec->cpus;
 }
 
+typedef struct
+{
+  double cost;
+  HzbTask *task;
+} Victim;
+
+static gint
+cheapest_first (gconstpointer a, gconstpointer b)
+{
+  const Victim *x = a, *y = b;
+  return x->cost < y->cost ? -1 : x->cost > y->cost;
+}
+
 /* Urgent tasks that their own team's limit keeps waiting: lower work of the team gives way. Its stop is sent
  * with the answer to its machine's next report. */
 static void
@@ -459,6 +585,7 @@
   const HzbBlock *block = d->jobs->block;
   int team = needy->team;
   double lack, limit = block->cpus_allowed[team];
+  g_autoptr (GArray) victims = g_array_new (FALSE, FALSE, sizeof (Victim));
 
   if (needy->spec->gang || hzb_time_between (needy->since, now) < preempt_after_s (d, needy))
     return;
@@ -470,29 +597,28 @@
         if (job->tasks[k].stopping)
           lack -= job->spec->cpus;
     }
-  while (lack > 1e-6)
+  if (lack <= 1e-6)
+    return;
+  for (guint i = 0; i < d->jobs->active->len; i++)
     {
-      HzbTask *victim = NULL;
-      double least = 1e9;
-      for (guint i = 0; i < d->jobs->active->len; i++)
+      const HzbJob *job = d->jobs->active->pdata[i];
+      if (job->team != team || job->spec->urgency >= needy->spec->urgency)
+        continue;
+      for (guint k = 0; job->placed && k < job->n_tasks; k++)
         {
-          const HzbJob *job = d->jobs->active->pdata[i];
-          if (job->team != team || job->spec->urgency >= needy->spec->urgency)
+          Victim victim = { stop_cost (&job->tasks[k], now), &job->tasks[k] };
+          if (!isfinite (victim.cost))
             continue;
-          for (guint k = 0; job->placed && k < job->n_tasks; k++)
-            {
-              double cost = stop_cost (&job->tasks[k], now) / MAX (job->spec->cpus, 1e-3) + job->spec->urgency * 1e4;
-              if (cost < least)
-                {
-                  least = cost;
-                  victim = &job->tasks[k];
-                }
-            }
+          victim.cost = victim.cost / MAX (job->spec->cpus, 1e-3) + job->spec->urgency * 1e4;
+          g_array_append_val (victims, victim);
         }
-      if (!victim)
-        return;
-      victim->stopping = TRUE;
-      lack -= victim->job->spec->cpus;
+    }
+  g_array_sort (victims, cheapest_first);
+  for (guint i = 0; i < victims->len && lack > 1e-6; i++)
+    {
+      HzbTask *task = g_array_index (victims, Victim, i).task;
+      task->stopping = TRUE;
+      lack -= task->job->spec->cpus;
     }
 }
 
@@ -509,6 +635,60 @@
   return FALSE;
 }
 
+/* How many machines a run looks at in full searches: what more there is to place is placed by samples. */
+#define LOOKS_PER_RUN 20000u
+
+static void
+index_listers (HzbDispatch *d)
+{
+  for (guint c = 0; c < HZB_N_CLASSES; c++)
+    g_ptr_array_set_size (d->listers[c], 0);
+  for (guint i = 0; i < d->machines->all->len; i++)
+    {
+      HzbMachine *m = d->machines->all->pdata[i];
+      for (guint c = 0; c < HZB_N_CLASSES; c++)
+        if (m->lists[c].length)
+          g_ptr_array_add (d->listers[c], m);
+    }
+  d->generation = d->machines->generation;
+}
+
+/* Tasks of one job to lists: only as many as the team may use, since what waits for its limit holds nobody up. */
+static void
+list_tasks (HzbDispatch *d, HzbJob *job, double *cpus, double *gpus, guint *budget, guint *looks, struct timespec now)
+{
+  const HzbBlock *block = d->jobs->block;
+  const HzbSpec *spec = job->spec;
+  g_auto (Search) search = { 0 };
+  gboolean sampled = d->lagging || *looks < d->machines->all->len;
+
+  search_begin (&search, d, job, now);
+  if (!sampled)
+    {
+      *looks -= d->machines->all->len;
+      search_look (&search, 0);
+    }
+  while (*budget && hzb_block_fits (block, job->team, cpus[job->team] + spec->cpus, gpus[job->team] + spec->gpus))
+    {
+      HzbTask *task;
+      HzbMachine *m;
+      if (sampled)
+        search_look (&search, d->sample);
+      m = has_its_one (job) ? NULL : search_best (&search);
+      /* No machine, or even the least loaded has work for a while: it waits here, where what comes later and is
+       * more pressing can still go first. Only what a machine could take is asked for, and so released. */
+      if (!m || listed_s (m, job->class) > d->list_ahead_s || !(task = hzb_job_next_pending (job, now)))
+        break;
+      put_on_list (d, task, m, now);
+      search_sent (&search);
+      cpus[job->team] += spec->cpus;
+      gpus[job->team] += spec->gpus;
+      (*budget)--;
+      if (job->failures >= 4)
+        break;
+    }
+}
+
 void
 hzb_dispatch_run (HzbDispatch *d, struct timespec now)
 {
@@ -516,7 +696,7 @@
   const HzbBlock *block = d->jobs->block;
   guint n = block->n_teams;
   g_autofree double *cpus = g_new0 (double, n), *gpus = g_new0 (double, n);
-  guint budget = d->lagging ? 50 : 400;
+  guint budget = d->lagging ? 50 : 400, looks = LOOKS_PER_RUN;
 
   hzb_dispatch_classes (d, now);
   for (guint i = 0; i < d->machines->all->len; i++)
@@ -527,6 +707,10 @@
     }
   memset (d->ahead_cpus, 0, n * HZB_N_CLASSES * sizeof (double));
   memset (d->ahead_gpus, 0, n * HZB_N_CLASSES * sizeof (double));
+  d->gang_waits = FALSE;
+  d->least_cpus = INFINITY;
+  for (guint c = 0; c < HZB_N_CLASSES; c++)
+    g_ptr_array_set_size (d->waiting[c], 0);
   for (guint i = 0; i < d->jobs->active->len; i++)
     {
       HzbJob *job = d->jobs->active->pdata[i];
@@ -534,6 +718,8 @@
       if (job->state != HZB_JOB_ACCEPTED || !(job->pending || job->listed))
         continue;
       g_ptr_array_add (order, job);
+      d->gang_waits = d->gang_waits || job->spec->gang;
+      d->least_cpus = MIN (d->least_cpus, job->spec->cpus);
       /* What can't start now keeps nothing from others: they would wait for it, and it perhaps for a machine that is
        * rented only once their work is over. */
       if (hzb_time_before (now, job->not_before) || job->failures || !has_machine (d, job->spec))
@@ -544,6 +730,12 @@
       d->ahead_gpus[at] += waiting * job->spec->gpus;
     }
   g_ptr_array_sort (order, hzb_dispatch_order);
+  for (guint i = 0; i < order->len; i++)
+    {
+      HzbJob *job = order->pdata[i];
+      if (!job->spec->gang)
+        g_ptr_array_add (d->waiting[job->class], job);
+    }
   for (guint i = 0; i < order->len && budget; i++)
     {
       HzbJob *job = order->pdata[i];
@@ -559,26 +751,15 @@
           place_gang (d, job, now);
           continue;
         }
-      if (spec->urgency >= HZB_URGENCY_HIGH
-          && !hzb_block_fits (block, job->team, cpus[job->team] + spec->cpus, gpus[job->team] + spec->gpus))
-        make_room_in_team (d, job, now);
-      /* Only as much goes to lists as the team may use: what waits for its limit holds nobody up. */
-      while (budget && hzb_block_fits (block, job->team, cpus[job->team] + spec->cpus, gpus[job->team] + spec->gpus))
+      if (!hzb_block_fits (block, job->team, cpus[job->team] + spec->cpus, gpus[job->team] + spec->gpus))
         {
-          HzbTask *task;
-          HzbMachine *m = has_its_one (job) ? NULL : hzb_dispatch_choose (d, job, now);
-          /* No machine, or even the least loaded has work for a while: it waits here, where what comes later and is
-           * more pressing can still go first. Only what a machine could take is asked for, and so released. */
-          if (!m || listed_s (m, job->class) > d->list_ahead_s || !(task = hzb_job_next_pending (job, now)))
-            break;
-          put_on_list (d, task, m, now);
-          cpus[job->team] += spec->cpus;
-          gpus[job->team] += spec->gpus;
-          budget--;
-          if (job->failures >= 4)
-            break;
+          if (spec->urgency >= HZB_URGENCY_HIGH)
+            make_room_in_team (d, job, now);
+          continue;
         }
+      list_tasks (d, job, cpus, gpus, &budget, &looks, now);
     }
+  index_listers (d);
 }
 
 /* ---- at a report ---- */
@@ -606,6 +787,13 @@
   d->ahead_gpus[at] = MAX (0, d->ahead_gpus[at] - job->spec->gpus);
 }
 
+/* Something that waits could fit. */
+static gboolean
+has_some_room (const HzbDispatch *d, const HzbMachine *m)
+{
+  return m->cpus + d->least_cpus <= m->type->cpus + 1e-6;
+}
+
 static gboolean
 startable (HzbDispatch *d, const HzbTask *task, const HzbMachine *m)
 {
@@ -634,20 +822,27 @@
     }
 }
 
-/* The unstarted task that the machine should take from another's list. */
+#define MOVE_SAMPLE 32u /* machines whose lists are looked at for one move */
+
+/* The unstarted task that the machine should take from another's list: of a sample, that of the most loaded. */
 static HzbTask *
 find_move (HzbDispatch *d, HzbMachine *m, guint class, gboolean cached)
 {
+  GPtrArray *listers = d->listers[class];
+  guint n = listers->len, most_looks = MIN (n, d->lagging ? d->sample : MOVE_SAMPLE);
+  guint first = most_looks < n ? (guint) g_rand_int_range (d->rand, 0, (gint32) n) : 0;
+  guint step = most_looks ? n / most_looks : 1;
   HzbTask *best = NULL;
   double most = -1;
 
-  for (guint i = 0; i < d->machines->all->len; i++)
+  for (guint i = 0; i < most_looks; i++)
     {
-      HzbMachine *other = d->machines->all->pdata[i];
+      HzbMachine *other = listers->pdata[(first + i * step) % n];
       guint looks = 0;
       double u;
       if (other == m || !other->lists[class].length)
         continue;
+      d->looks++;
       u = hzb_estimate_mean (&other->estimates[class]);
       if (u <= most)
         continue;
@@ -656,8 +851,8 @@
           HzbTask *task = l->data;
           const HzbSpec *spec = task->job->spec;
           if ((cached && !g_hash_table_contains (m->images, spec->image)) || !hzb_machine_allowed (m, spec)
-              || !hzb_machine_has_room (m, spec) || g_strcmp0 (m->last_failed_job, task->job->uid) == 0
-              || !startable (d, task, m))
+              || !hzb_machine_has_room (m, spec)
+              || (m->last_failed_job && g_str_equal (m->last_failed_job, task->job->uid)) || !startable (d, task, m))
             continue;
           best = task;
           most = u;
@@ -671,23 +866,18 @@
 static void
 start_waiting (HzbDispatch *d, HzbMachine *m, guint class, struct timespec now, GArray *orders)
 {
-  g_autoptr (GPtrArray) order = g_ptr_array_new ();
+  GPtrArray *waiting = d->waiting[class];
 
-  for (guint i = 0; i < d->jobs->active->len; i++)
-    {
-      HzbJob *job = d->jobs->active->pdata[i];
-      if (job->state == HZB_JOB_ACCEPTED && job->class == class && job->pending && !job->failures && !job->spec->gang
-          && !hzb_time_before (now, job->not_before) && hzb_machine_allowed (m, job->spec)
-          && g_strcmp0 (m->last_failed_job, job->uid) != 0)
-        g_ptr_array_add (order, job);
-    }
-  g_ptr_array_sort (order, hzb_dispatch_order);
   for (guint cached = 2; cached-- > 0;)
-    for (guint i = 0; i < order->len; i++)
+    for (guint i = 0; i < waiting->len && has_some_room (d, m); i++)
       {
-        HzbJob *job = order->pdata[i];
+        HzbJob *job = waiting->pdata[i];
         HzbTask *task;
-        if (cached && !g_hash_table_contains (m->images, job->spec->image))
+        /* The order is that of the last run: what has changed since is looked at here. */
+        if (!job->pending || job->state != HZB_JOB_ACCEPTED || job->class != class || job->failures
+            || !hzb_machine_has_room (m, job->spec) || !hzb_machine_allowed (m, job->spec)
+            || hzb_time_before (now, job->not_before) || (m->last_failed_job && g_str_equal (m->last_failed_job, job->uid))
+            || (cached && !g_hash_table_contains (m->images, job->spec->image)) || !hzb_dispatch_team_may_use (d, job))
           continue;
         while (!has_its_one (job) && hzb_machine_has_room (m, job->spec) && (task = hzb_job_next_pending (job, now)))
           {
@@ -854,7 +1044,9 @@
           i = G_MAXUINT; /* the array was changed */
         }
     }
-  for (gint class = HZB_N_CLASSES - 1; class >= 0; class--)
+  if (d->generation != d->machines->generation)
+    index_listers (d); /* some of them may be no more */
+  for (gint class = HZB_N_CLASSES - 1; class >= 0 && has_some_room (d, m); class--)
     {
       gboolean held_up = FALSE;
       if (halted_by_gang (d, m, (guint) class, now))
@@ -874,10 +1066,10 @@
         }
       if (held_up)
         break;
-      for (guint cached = 2; cached-- > 0;)
+      for (guint cached = 2; cached-- > 0 && d->listers[class]->len;)
         {
           HzbTask *task;
-          while ((task = find_move (d, m, (guint) class, cached == 1)))
+          while (has_some_room (d, m) && (task = find_move (d, m, (guint) class, cached == 1)))
             start (d, task, m, orders);
         }
       start_waiting (d, m, (guint) class, now, orders);
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -15,6 +15,13 @@
   gboolean lagging;     /* more is asked than can be done: samples in place of full searches */
   double lag_s;         /* how late timers fire, smoothed */
   double *ahead_cpus, *ahead_gpus; /* [team][class]: what waits and goes first */
+  /* As of the last run, so that a report costs no look at every machine or job: */
+  GPtrArray *waiting[HZB_N_CLASSES]; /* HzbJob, in the order of service */
+  GPtrArray *listers[HZB_N_CLASSES]; /* HzbMachine that have such work in their lists */
+  guint generation;                  /* of the machines, when listers were found */
+  gboolean gang_waits;
+  double least_cpus; /* of a waiting task: a machine with less than that free needs no look */
+  guint looks;       /* machines looked at so far, for tests */
 } HzbDispatch;
 
 HzbDispatch *hzb_dispatch_new (HzbJobs *jobs, HzbMachines *machines, const HzbSettings *settings, GRand *rand);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -387,16 +387,21 @@
 {
   g_autoptr (GPtrArray) all = needs (f, now);
   g_autoptr (GArray) candidates = g_array_new (FALSE, FALSE, sizeof (Candidate));
-  g_autofree double *have = g_new0 (double, all->len + 1), *least = g_new0 (double, all->len + 1);
+  guint kinds = f->machines->types ? 2 * f->machines->types->len : 0;
+  g_autofree double *have = g_new0 (double, all->len + 1), *want = g_new0 (double, all->len * kinds + 1);
   double total = 0, ease = 1 - exp (-1.0 / 12);
 
   if (!f->machines->types)
     return; /* a node may lead before the cloud has told it of the types */
   for (guint i = 0; i < all->len; i++)
     {
-      have[i] = supply (f, all->pdata[i], now);
-      least[i] = cheapest (f, all->pdata[i], FALSE);
-      total += wanted (all->pdata[i], 1);
+      const Need *need = all->pdata[i];
+      double least = cheapest (f, need, FALSE);
+      have[i] = supply (f, need, now);
+      total += wanted (need, 1);
+      /* There are few kinds of machines, but many machines: what is wanted is counted once a kind. */
+      for (guint k = 0; k < kinds; k++)
+        want[i * kinds + k] = wanted (need, unit_price (f->machines->types->pdata[k / 2], k % 2, need) / least);
     }
   f->usual += (total - f->usual) * ease; /* called once a second */
   for (guint i = 0; i < f->machines->all->len; i++)
@@ -416,12 +421,11 @@
       for (guint i = 0; i < all->len && surplus; i++)
         {
           const Need *need = all->pdata[i];
-          double want;
           if (!kind_fits (m->type, m->zone, m->spot, need))
             continue;
           /* More than the present need if there usually is more: jobs come in lumps. */
-          want = wanted (need, unit_price (m->type, m->spot, need) / least[i]) * MAX (1, f->usual / MAX (total, 1));
-          surplus = have[i] - useful_units (m->type, need) >= want * 1.1 + 2;
+          surplus = have[i] - useful_units (m->type, need)
+                    >= want[i * kinds + 2 * m->type->index + !!m->spot] * MAX (1, f->usual / MAX (total, 1)) * 1.1 + 2;
         }
       if (!surplus)
         {
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -164,7 +164,7 @@
       return;
     }
   if (job->spec && piece->state != HZB_PIECE_FETCHING && !g_hash_table_contains (m->images, job->spec->image))
-    g_hash_table_add (m->images, g_strdup (job->spec->image));
+    g_hash_table_add (m->images, g_ref_string_acquire (job->spec->image));
   if (piece->state == HZB_PIECE_RUNNING && task)
     {
       m->failures = m->failures > 0 && hzb_time_between (task->since, now) > 5 ? 0 : m->failures;
--- a/src/lease.c
+++ b/src/lease.c
@@ -23,6 +23,7 @@
 #define MOST_PER_ANSWER 160u
 #define UNLEVEL 0.7            /* a block this much smaller than the leader's gets machines that work */
 #define HAND_OVER_EVERY_S 0.25 /* each costs its machine a second or so: */
+#define COUNT_EVERY_S 0.2
 #define LATE_S 0.015           /* only a leader whose timers are so late on average hands working machines over */
 
 /* The leader's view of one lessee. */
@@ -47,6 +48,8 @@
   GArray *lessees; /* Lessee */
   guint tokens;    /* numbers used in this term */
   struct timespec next_hand_over;
+  double *cpus; /* of each block, the leader's own first; counted anew now and then, see count_blocks() */
+  struct timespec counted;
 };
 
 HzbLeases *
@@ -55,6 +58,7 @@
   HzbLeases *leases = g_new0 (HzbLeases, 1);
   leases->c = c;
   leases->lessees = g_array_new (FALSE, TRUE, sizeof (Lessee));
+  leases->cpus = g_new0 (double, c->settings->peers->len + 1);
   for (guint i = 0; i < c->settings->peers->len; i++)
     {
       Lessee lessee = { .leases = leases, .id = (guint8) (i + 1), .peer = c->settings->peers->pdata[i] };
@@ -78,6 +82,7 @@
       lessee->asked = lessee->steady_since = (struct timespec){ 0 };
     }
   leases->tokens = 0;
+  leases->counted = (struct timespec){ 0 };
 }
 
 void
@@ -87,6 +92,7 @@
   for (guint i = 0; i < leases->lessees->len; i++)
     g_hash_table_unref (g_array_index (leases->lessees, Lessee, i).running);
   g_array_unref (leases->lessees);
+  g_free (leases->cpus);
   g_free (leases);
 }
 
@@ -175,23 +181,35 @@
   return FALSE;
 }
 
-/* The lessee whose block has the fewest CPUs, if fewer than the leader would then have times so much; or NULL. */
-static Lessee *
-needy_lessee (HzbLeases *leases, const HzbMachine *machine, double part, struct timespec now)
+/* Not at every report: it looks at every machine. */
+static void
+count_blocks (HzbLeases *leases, struct timespec now)
 {
   HzbController *c = leases->c;
-  double own = 0, least;
-  g_autofree double *cpus = g_new0 (double, leases->lessees->len + 1);
-  Lessee *best = NULL;
-
+  if (hzb_time_is_set (leases->counted) && hzb_time_between (leases->counted, now) < COUNT_EVERY_S)
+    return;
+  leases->counted = now;
+  memset (leases->cpus, 0, (leases->lessees->len + 1) * sizeof *leases->cpus);
   for (guint i = 0; i < c->machines->all->len; i++)
     {
       const HzbMachine *m = c->machines->all->pdata[i];
       if (m->type && m->state == HZB_MACHINE_LENT)
-        cpus[m->lessee] += m->type->cpus;
+        leases->cpus[m->lessee] += m->type->cpus;
       else if (m->type && m->state == HZB_MACHINE_ACTIVE)
-        own += m->type->cpus;
+        leases->cpus[0] += m->type->cpus;
     }
+}
+
+/* The lessee whose block has the fewest CPUs, if fewer than the leader would then have times so much; or NULL. */
+static Lessee *
+needy_lessee (HzbLeases *leases, const HzbMachine *machine, double part, struct timespec now)
+{
+  const double *cpus = leases->cpus;
+  double own, least;
+  Lessee *best = NULL;
+
+  count_blocks (leases, now);
+  own = cpus[0];
   /* One that works here already is lent only where that makes the blocks more level. */
   least = part * (machine->state == HZB_MACHINE_ACTIVE ? own - machine->type->cpus : own);
   for (guint i = 0; i < leases->lessees->len; i++)
@@ -221,6 +239,9 @@
 {
   if (!lessee->token || machine->token >= lessee->token)
     lessee->token = hzb_leases_next_token (leases);
+  if (machine->state == HZB_MACHINE_ACTIVE)
+    leases->cpus[0] -= machine->type->cpus;
+  leases->cpus[lessee->id] += machine->type->cpus;
   machine->lessee = lessee->id;
   machine->lend_sent = FALSE;
   hzb_machine_set_state (leases->c->machines, machine, HZB_MACHINE_LENT, lessee->peer->node);
@@ -369,6 +390,21 @@
   return FALSE;
 }
 
+/* What waits for a list first, then what is in one; *at: how far those in lists have been looked for. */
+static HzbTask *
+next_to_grant (HzbController *c, HzbJob *job, guint *at, struct timespec now)
+{
+  HzbTask *task = job->pending ? hzb_job_next_pending (job, now) : NULL;
+  for (; !task && job->listed && *at < job->n_tasks; (*at)++)
+    if (job->tasks[*at].state == HZB_TASK_LISTED && !hzb_time_before (now, job->tasks[*at].not_before))
+      {
+        task = &job->tasks[*at];
+        hzb_task_set_state (c->jobs, task, HZB_TASK_PENDING, NULL);
+        g_queue_pop_tail (&job->retry); /* where it was just put */
+      }
+  return task;
+}
+
 /* A lessee with room is as an idle machine is to a list: unstarted tasks move there. */
 static void
 feed (HzbLeases *leases, Lessee *lessee, double room, struct timespec now)
@@ -391,19 +427,15 @@
   for (guint i = 0; i < order->len && room > 0 && n < MOST_PER_ANSWER; i++)
     {
       HzbJob *job = order->pdata[i];
+      guint at = 0;
       gboolean holds = block_holds (c, lessee, job->spec) && !(job->begin_due && (job->listed || job->placed));
       if (holds && job->cursor >= job->released)
         job->wants_release = TRUE;
-      for (guint k = 0; holds && (job->pending || job->listed) && k < job->released && n < MOST_PER_ANSWER; k++)
+      while (holds && n < MOST_PER_ANSWER && job->spec->cpus <= room && hzb_dispatch_team_may_use (c->dispatch, job))
         {
-          HzbTask *task = &job->tasks[k];
-          if (job->spec->cpus > room || !hzb_dispatch_team_may_use (c->dispatch, job))
+          HzbTask *task = next_to_grant (c, job, &at, now);
+          if (!task)
             break;
-          if ((task->state != HZB_TASK_PENDING && task->state != HZB_TASK_LISTED) || hzb_time_before (now, task->not_before))
-            continue;
-          if (task->state == HZB_TASK_LISTED)
-            hzb_task_set_state (c->jobs, task, HZB_TASK_PENDING, NULL);
-          g_queue_remove (&job->retry, task);
           if (!hzb_task_set_state (c->jobs, task, HZB_TASK_GRANTED, NULL))
             continue;
           task->lessee = lessee->id;
--- a/src/lessee.c
+++ b/src/lessee.c
@@ -11,6 +11,7 @@
 #define AHEAD 0.12      /* of the block's CPUs: tasks wanted beyond its room, so that no place waits for the next answer */
 #define KEEP_S 6.0      /* an unstarted task goes back to the leader after this */
 #define IDLE_S 10.0     /* and an idle machine */
+#define TEND_S 0.5      /* tasks that may have to go back are looked for so often */
 
 struct _HzbLessee
 {
@@ -18,7 +19,7 @@
   gboolean asking;
   guint64 token, in_number;
   HzbOutbox out;
-  struct timespec asked, next_ask, answered, valid_until;
+  struct timespec asked, next_ask, next_tend, answered, valid_until;
 };
 
 HzbLessee *
@@ -395,7 +396,11 @@
   if (c->hold == HZB_HOLD_LEASED)
     {
       tend_machines (lessee, now);
-      give_tasks (lessee, now);
+      if (!hzb_time_before (now, lessee->next_tend))
+        {
+          lessee->next_tend = hzb_time_plus (now, TEND_S);
+          give_tasks (lessee, now);
+        }
     }
   if (hzb_election_leader (c->election) && !lessee->asking && !hzb_time_before (now, lessee->next_ask))
     {
--- a/src/machines.c
+++ b/src/machines.c
@@ -48,6 +48,7 @@
 void
 hzb_machines_clear (HzbMachines *machines)
 {
+  machines->generation++;
   g_hash_table_remove_all (machines->by_name);
   g_ptr_array_set_size (machines->all, 0);
 }
@@ -57,6 +58,8 @@
 {
   GPtrArray *old = machines->types;
   machines->types = types;
+  for (guint i = 0; i < types->len; i++)
+    ((HzbMachineType *) types->pdata[i])->index = i;
   for (guint i = 0; i < machines->all->len; i++)
     {
       HzbMachine *m = machines->all->pdata[i];
@@ -95,8 +98,8 @@
   m->state = state;
   m->since = m->rented = m->idle_since = now;
   m->tasks = g_ptr_array_new ();
-  m->images = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  m->expected = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  m->images = g_hash_table_new_full (NULL, NULL, (GDestroyNotify) g_ref_string_release, NULL);
+  m->expected = g_hash_table_new_full (NULL, NULL, (GDestroyNotify) g_ref_string_release, NULL);
   m->stale_estimate = TRUE;
   g_hash_table_insert (machines->by_name, m->name, m);
   g_ptr_array_add (machines->all, m);
@@ -107,6 +110,7 @@
 hzb_machines_remove (HzbMachines *machines, HzbMachine *machine)
 {
   g_return_if_fail (machine->state == HZB_MACHINE_GONE && machine->tasks->len == 0);
+  machines->generation++;
   g_hash_table_remove (machines->by_name, machine->name);
   g_ptr_array_remove (machines->all, machine);
 }
--- a/src/machines.h
+++ b/src/machines.h
@@ -58,7 +58,7 @@
   GQueue lists[HZB_N_CLASSES];
   HzbEstimate estimates[HZB_N_CLASSES]; /* work that a task of the class waits behind */
   gboolean stale_estimate;
-  GHashTable *images;   /* names known to be on it */
+  GHashTable *images;   /* names (interned) known to be on it */
   GHashTable *expected; /* names that tasks sent or listed here will bring, as of the last report */
   guint round;                 /* counts reports, see HzbTask.seen */
   guint failures, failed_jobs; /* in a row */
@@ -70,6 +70,7 @@
   GHashTable *by_name;
   GPtrArray *all; /* HzbMachine, owned */
   GPtrArray *types;
+  guint generation; /* counts removals: who keeps machines looks them up anew */
   HzbClock *clock;
   const HzbSettings *settings;
 } HzbMachines;
--- a/src/records.c
+++ b/src/records.c
@@ -201,7 +201,7 @@
   HzbSpec *spec = g_new0 (HzbSpec, 1);
   spec->uid = g_strdup (uid);
   spec->lane = g_strdup ("");
-  spec->image = g_strdup ("");
+  spec->image = g_ref_string_new_intern ("");
   spec->team = g_strdup (hzb_json_text (value, "team"));
   spec->cpus = hzb_json_number (value, "cpus", 0);
   spec->gpus = hzb_json_number (value, "gpus", 0);
--- a/src/wire.c
+++ b/src/wire.c
@@ -84,7 +84,7 @@
   g_free (spec->uid);
   g_free (spec->lane);
   g_free (spec->team);
-  g_free (spec->image);
+  g_clear_pointer (&spec->image, g_ref_string_release);
   g_strfreev (spec->types);
   g_free (spec->zone);
   g_free (spec);
@@ -197,6 +197,7 @@
 {
   const cJSON *item;
   const char *shape;
+  g_autofree char *image = NULL;
   double tasks = 0;
 
   if (!hzb_wire_uid_ok (hzb_json_text (root, "uid")))
@@ -212,7 +213,7 @@
       || !take_number (root, "cpus", 0, FALSE, &spec->cpus, error)
       || !take_number (root, "gpus", 0, FALSE, &spec->gpus, error)
       || !take_number (root, "ramGb", 0, FALSE, &spec->memory_gb, error)
-      || !take_text (root, "bundle", &spec->image, error)
+      || !take_text (root, "bundle", &image, error)
       || !take_number (root, "sizeGb", 0, FALSE, &spec->image_gb, error)
       || !take_flag (root, "samePlace", &spec->same_zone, error)
       || !take_flag (root, "spread", &spec->spread, error) || !take_flag (root, "loaners", &spec->spot, error)
@@ -223,6 +224,7 @@
   if (tasks != floor (tasks) || tasks > HZB_MAX_TASKS)
     return bad (error, "pieces", "a whole number from 1 to 100000");
   spec->tasks = (guint) tasks;
+  spec->image = g_ref_string_new_intern (image);
   item = cJSON_GetObjectItemCaseSensitive (root, "flavors");
   if (item && !cJSON_IsNull (item))
     {
--- a/src/wire.h
+++ b/src/wire.h
@@ -24,7 +24,7 @@
   HzbUrgency urgency;
   guint tasks;
   double cpus, gpus, memory_gb;
-  char *image;
+  GRefString *image; /* interned: equal names are equal pointers */
   double image_gb;
   char **types; /* NULL: any */
   char *zone;   /* NULL: any */
@@ -40,6 +40,7 @@
   char *name;
   double cpus, gpus, memory_gb, cache_gb, fetch_gb_per_s, price, spot_price, boot_s;
   char **zones;
+  guint index; /* in the list of types */
 } HzbMachineType;
 
 void hzb_machine_type_free (HzbMachineType *type);
--- a/tests/support.h
+++ b/tests/support.h
@@ -93,7 +93,7 @@
   spec->tasks = tasks;
   spec->cpus = cpus;
   spec->memory_gb = 1;
-  spec->image = g_strdup ("img");
+  spec->image = g_ref_string_new_intern ("img");
   spec->image_gb = 0;
   spec->spot = TRUE;
   spec->estimate_s = estimate;
--- a/tests/world.c
+++ b/tests/world.c
@@ -3,10 +3,6 @@
 #include <math.h>
 #include <string.h>
 
-#define LEASE_S 10.0
-#define REPORT_S 1.5
-#define CANCEL_S 30.0
-#define TEAM_MAX 24.0
 #define FORGOTTEN_S 75.0
 
 /* ---- events ---- */
@@ -50,7 +46,11 @@
       hzb_clock_advance (w->clock, e.at - w->now);
       w->now = e.at;
       e.run (w, e.data);
-      world_check (w);
+      if (w->now >= w->next_check)
+        {
+          world_check (w);
+          w->next_check = w->now + w->size.check_s;
+        }
     }
   hzb_clock_advance (w->clock, until - w->now);
   w->now = until;
@@ -76,10 +76,7 @@
 static WorldJob *
 find_job (World *w, const char *uid)
 {
-  for (guint i = 0; i < w->jobs->len; i++)
-    if (g_str_equal (((WorldJob *) w->jobs->pdata[i])->uid, uid))
-      return w->jobs->pdata[i];
-  return NULL;
+  return g_hash_table_lookup (w->by_uid, uid);
 }
 
 /* ---- state service ---- */
@@ -126,15 +123,18 @@
 watch_body (World *w, const char *prefix, guint64 after, gboolean *any)
 {
   cJSON *root = cJSON_CreateObject (), *list;
+  guint first = w->history->len;
   char *text;
   hzb_json_add_u64 (root, "epoch", w->revision);
   list = cJSON_AddArrayToObject (root, "news");
   *any = FALSE;
-  for (guint i = 0; i < w->history->len; i++)
+  while (first && ((Change *) w->history->pdata[first - 1])->version > after)
+    first--;
+  for (guint i = first; i < w->history->len; i++)
     {
       const Change *change = w->history->pdata[i];
       cJSON *item;
-      if (change->version <= after || !g_str_has_prefix (change->key, prefix))
+      if (!g_str_has_prefix (change->key, prefix))
         continue;
       item = cJSON_CreateObject ();
       cJSON_AddStringToObject (item, change->text ? "put" : "remove", change->key);
@@ -359,11 +359,12 @@
     {
       const Value *value = g_hash_table_lookup (w->kv, keys->pdata[i]);
       cJSON *row;
-      if (i == 5) /* small pages, so that reading on is tried */
+      if (i == w->size.rows)
         {
           more = TRUE;
           break;
         }
+      w->rows_read++;
       row = cJSON_CreateObject ();
       cJSON_AddStringToObject (row, "path", keys->pdata[i]);
       cJSON_AddRawToObject (row, "value", value->text);
@@ -432,17 +433,48 @@
     call->done (status, body ? body : "", body ? strlen (body) : 0, call->user);
 }
 
+static gboolean stands (Node *node, void (*run) (World *w, gpointer data), gpointer data);
+
 static void
 on_timeout (World *w, gpointer data)
 {
+  if (stands (&w->nodes[((Call *) data)->node], on_timeout, data))
+    return;
   call_finish (w, data, 0, NULL);
   call_unref (data);
 }
 
+/* Kept until the node wakes; TRUE: it stands. */
+static gboolean
+stands (Node *node, void (*run) (World *w, gpointer data), gpointer data)
+{
+  Event *late;
+  if (!node->c || !node->stands)
+    return FALSE;
+  late = g_new0 (Event, 1);
+  late->run = run;
+  late->data = data;
+  g_ptr_array_add (node->late, late);
+  return TRUE;
+}
+
+void
+world_wake (World *w, guint at)
+{
+  Node *node = &w->nodes[at];
+  g_autoptr (GPtrArray) late = node->late;
+  node->late = g_ptr_array_new_with_free_func (g_free);
+  node->stands = FALSE;
+  for (guint i = 0; i < late->len; i++)
+    ((Event *) late->pdata[i])->run (w, ((Event *) late->pdata[i])->data);
+}
+
 static void
 on_answer (World *w, gpointer data)
 {
   Call *call = data;
+  if (stands (&w->nodes[call->node], on_answer, call))
+    return;
   call_finish (w, call, call->status, call->reply);
   call_unref (call);
 }
@@ -494,6 +526,7 @@
   char *body = NULL;
   if (g_str_equal (call->addr, "10.9.0.1:1"))
     {
+      w->requests++;
       if (w->outage || w->nodes[call->node].refused)
         answer (w, call, 503, NULL);
       else if (g_str_equal (call->path, "/multi"))
@@ -556,6 +589,8 @@
           answer (w, call, 0, NULL);
           return;
         }
+      if (stands (target, on_arrival, call))
+        return;
       exchange = g_new0 (HzbExchange, 1);
       pair = g_new0 (gpointer, 2);
       pair[0] = w;
@@ -645,7 +680,7 @@
     {
       cJSON *root = cJSON_Parse (call->body), *out, *list;
       const char *request = hzb_json_text (root, "hire");
-      const char *known = g_hash_table_lookup (w->requests, request);
+      const char *known = g_hash_table_lookup (w->requested, request);
       if (!known)
         {
           guint alive = 0, count = (guint) hzb_json_number (root, "count", 1);
@@ -654,7 +689,8 @@
             alive += !((WorldMachine *) w->machines->pdata[i])->gone;
           out = cJSON_CreateObject ();
           list = cJSON_AddArrayToObject (out, "hosts");
-          for (; count && alive < 12; count--, alive++)
+          w->rentals++;
+          for (; count && alive < w->size.machines; count--, alive++)
             cJSON_AddItemToArray (list, cJSON_CreateString (world_add_machine (w, hzb_json_text (root, "flavor"), hzb_json_text (root, "yard"),
                                                              cJSON_IsTrue (cJSON_GetObjectItem (root, "loaners")),
                                                              g_rand_double_range (w->rand, 1, 6))->name));
@@ -663,7 +699,7 @@
               text = cJSON_PrintUnformatted (out);
               known = g_strdup (text);
               cJSON_free (text);
-              g_hash_table_insert (w->requests, g_strdup (request), (gpointer) known);
+              g_hash_table_insert (w->requested, g_strdup (request), (gpointer) known);
             }
           cJSON_Delete (out);
         }
@@ -677,6 +713,7 @@
     {
       cJSON *root = cJSON_Parse (call->body);
       const cJSON *item;
+      w->most_returned = MAX (w->most_returned, (guint) cJSON_GetArraySize (cJSON_GetObjectItem (root, "hosts")));
       cJSON_ArrayForEach (item, cJSON_GetObjectItem (root, "hosts"))
         for (guint i = 0; i < w->machines->len; i++)
           {
@@ -694,13 +731,21 @@
   else
     {
       cJSON *root = cJSON_CreateObject (), *list = cJSON_AddArrayToObject (root, "hosts");
+      g_autofree char *since = query (call->path, "since");
+      gboolean more = FALSE;
+      guint n = 0;
       char *text;
       for (guint i = 0; i < w->machines->len; i++)
         {
           const WorldMachine *m = w->machines->pdata[i];
           cJSON *item;
-          if (w->now < m->listed_at || w->now > m->gone_at + 3)
+          if (w->now < m->listed_at || w->now > m->gone_at + 3 || (since && strcmp (m->name, since) <= 0))
             continue;
+          if (n++ == 500)
+            {
+              more = TRUE;
+              break;
+            }
           item = cJSON_CreateObject ();
           cJSON_AddStringToObject (item, "uid", m->name);
           cJSON_AddStringToObject (item, "addr", "10.1.0.1:1");
@@ -711,7 +756,7 @@
           cJSON_AddNumberToObject (item, "ageS", w->now - m->rented);
           cJSON_AddItemToArray (list, item);
         }
-      cJSON_AddBoolToObject (root, "hasNext", FALSE);
+      cJSON_AddBoolToObject (root, "hasNext", more);
       text = cJSON_PrintUnformatted (root);
       cJSON_Delete (root);
       answer (w, call, 200, text);
@@ -922,7 +967,7 @@
   Node *node = &w->nodes[r->node];
   HzbExchange *exchange;
   gpointer *pair;
-  if (!node->c || node->cut_workers)
+  if (!node->c || node->cut_workers || stands (node, report_arrives, r))
     return;
   exchange = g_new0 (HzbExchange, 1);
   pair = g_new0 (gpointer, 2);
@@ -956,7 +1001,7 @@
   r->session = m->session;
   r->sent = w->now;
   m->asking = TRUE;
-  m->next_report = w->now + REPORT_S * g_rand_double_range (w->rand, 0.75, 1.25);
+  m->next_report = w->now + w->size.report_s * g_rand_double_range (w->rand, 0.75, 1.25);
   world_at (w, w->now + 4, report_gives_up, r);
   if (chance (w, w->copies))
     {
@@ -966,7 +1011,7 @@
       copy->body = g_strdup (r->body);
       copy->copy = TRUE;
       copy->node = (guint) g_rand_int_range (w->rand, 0, WORLD_NODES);
-      world_at (w, w->now + g_rand_double_range (w->rand, 1, 4 * LEASE_S), report_arrives, copy);
+      world_at (w, w->now + g_rand_double_range (w->rand, 1, 4 * w->size.lease_s), report_arrives, copy);
     }
   if (!m->cut && !chance (w, w->lose))
     world_at (w, w->now + (chance (w, w->late) ? g_rand_double_range (w->rand, 1, 9) : delay (w)), report_arrives, r);
@@ -985,7 +1030,7 @@
       m->up = TRUE;
       m->lease_from = m->next_report = w->now;
     }
-  if (w->now - m->lease_from > LEASE_S)
+  if (w->now - m->lease_from > w->size.lease_s)
     {
       forget_tasks (m); /* a hung machine's lease ends as well */
       m->session++;
@@ -1111,6 +1156,11 @@
       g_free (call);
       return;
     }
+  if (w->nodes[at].stands)
+    {
+      g_free (call); /* the user gives it up */
+      return;
+    }
   exchange = g_new0 (HzbExchange, 1);
   pair = g_new0 (gpointer, 2);
   pair[0] = w;
@@ -1169,6 +1219,7 @@
   job->submit_at = at;
   job->finished = g_new0 (guchar, n);
   g_ptr_array_add (w->jobs, job);
+  g_hash_table_insert (w->by_uid, job->uid, job);
   world_at (w, at, user_step, job);
   return job;
 }
@@ -1259,7 +1310,7 @@
           if (g_hash_table_contains (places, name))
             broken (w, "ran_twice", "%s on %s and another", name, m->name);
           g_hash_table_add (places, name);
-          if (job->told_cancelled && w->now > job->cancelled_at + CANCEL_S)
+          if (job->told_cancelled && w->now > job->cancelled_at + w->size.cancel_s)
             broken (w, "ran_cancelled", "%s on %s", name, m->name);
           used = g_hash_table_lookup (teams, job->team);
           if (!used)
@@ -1268,7 +1319,7 @@
               g_hash_table_insert (teams, job->team, used);
             }
           *used += job->cpus;
-          if (*used > TEAM_MAX + 1e-9)
+          if (*used > w->size.team_max + 1e-9)
             broken (w, "quota", "%s uses %g", job->team, *used);
         }
     }
@@ -1287,7 +1338,7 @@
 node_tick (World *w, gpointer data)
 {
   Node *node = data;
-  if (node->c)
+  if (node->c && !node->stands)
     hzb_controller_tick (node->c);
   world_at (w, w->now + 0.1, node_tick, node);
 }
@@ -1306,12 +1357,17 @@
   g_string_append_printf (text,
                           "[external]\ncloud = \"10.9.0.2:1\"\nstate = \"10.9.0.1:1\"\n[cluster]\nsize = 3\n"
                           "zones = [\"za\", \"zb\"]\nskew_ms = 5\n"
-                          "[[cluster.teams]]\nname = \"red\"\ncpus = 8\ncpus_max = %g\n"
-                          "[[cluster.teams]]\nname = \"blue\"\ncpus = 8\ncpus_max = %g\n"
                           "[cluster.workers]\nreport_s = %g\nlease_s = %g\ngang_wait_s = 20\ngang_peer_s = 4\ncancel_s = %g\n"
-                          "[cluster.state]\nrps = 200\nwrite_rps = 60\nvalue_kb = 16\ntxn_ops = 8\n"
-                          "[cluster.cloud]\nrps = 6\nlist_lag_s = 3\n",
-                          TEAM_MAX, TEAM_MAX, REPORT_S, LEASE_S, CANCEL_S);
+                          "[cluster.state]\nrps = %g\nwrite_rps = %g\nvalue_kb = 16\ntxn_ops = %u\n"
+                          "[cluster.cloud]\nrps = %g\nlist_lag_s = 3\n",
+                          w->size.report_s, w->size.lease_s, w->size.cancel_s, w->size.store_rps, w->size.store_write_rps,
+                          w->size.txn_ops, w->size.cloud_rps);
+  for (guint i = 0; i < w->size.teams; i++)
+    {
+      g_autofree char *name = i < 2 ? g_strdup (i ? "blue" : "red") : g_strdup_printf ("team-%02u", i);
+      g_string_append_printf (text, "[[cluster.teams]]\nname = \"%s\"\ncpus = %g\ncpus_max = %g\n", name,
+                              w->size.team_guarantee, w->size.team_max);
+    }
   settings = hzb_settings_parse (text->str, "world", &error);
   g_assert_no_error (error);
   g_string_free (text, TRUE);
@@ -1329,6 +1385,7 @@
 world_crash (World *w, guint at)
 {
   w->nodes[at].c = NULL;
+  w->nodes[at].stands = FALSE;
 }
 
 int
@@ -1342,8 +1399,18 @@
 
 World *
 world_new (guint32 seed)
+{
+  /* small pages, so that reading on is tried */
+  static const WorldSize little = { 12, 2, 24, 8, 1.5, 10, 30, 200, 60, 8, 6, 5, 0 };
+  return world_new_sized (seed, &little);
+}
+
+World *
+world_new_sized (guint32 seed, const WorldSize *size)
 {
   World *w = g_new0 (World, 1);
+  w->size = *size;
+  w->by_uid = g_hash_table_new (g_str_hash, g_str_equal);
   w->clock = hzb_clock_new_manual ();
   w->rand = g_rand_new_with_seed (seed);
   w->events = g_sequence_new (g_free);
@@ -1351,12 +1418,13 @@
   w->leases = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
   w->history = g_ptr_array_new_with_free_func (change_free);
   w->watchers = g_ptr_array_new ();
-  w->requests = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  w->requested = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   w->machines = g_ptr_array_new ();
   w->jobs = g_ptr_array_new ();
   w->broken = g_ptr_array_new_with_free_func (g_free);
   for (guint i = 0; i < WORLD_NODES; i++)
     {
+      w->nodes[i].late = g_ptr_array_new_with_free_func (g_free);
       world_start (w, i);
       world_at (w, 0.03 * (i + 1), node_tick, &w->nodes[i]);
     }
@@ -1370,7 +1438,8 @@
   g_hash_table_unref (w->kv);
   g_hash_table_unref (w->leases);
   g_ptr_array_unref (w->history);
-  g_hash_table_unref (w->requests);
+  g_hash_table_unref (w->requested);
+  g_hash_table_unref (w->by_uid);
   g_ptr_array_unref (w->broken);
   g_rand_free (w->rand);
   hzb_clock_free (w->clock);
--- a/tests/world.h
+++ b/tests/world.h
@@ -21,6 +21,8 @@
   NodeTransport *transport;
   guint life;
   gboolean cut_store, cut_peers, cut_workers, refused;
+  gboolean stands;  /* still, while its clock runs on; what comes meanwhile it takes up on waking */
+  GPtrArray *late;  /* what came */
 } Node;
 
 typedef struct
@@ -61,6 +63,20 @@
   guchar *finished; /* a task has ended well somewhere */
 } WorldJob;
 
+/* What a larger deployment than the usual little one differs in. */
+typedef struct
+{
+  guint machines;    /* the cloud has no more; the usual: 12 */
+  guint teams;       /* 2: red and blue; more are named team-00 and on */
+  double team_max, team_guarantee;
+  double report_s, lease_s, cancel_s;
+  double store_rps, store_write_rps; /* as the settings say; limits only where write_rate says so */
+  guint txn_ops;
+  double cloud_rps;
+  guint rows;        /* of a range read */
+  double check_s;    /* the rules are checked so often; 0: after every event */
+} WorldSize;
+
 struct _World
 {
   HzbClock *clock;
@@ -77,7 +93,7 @@
   double write_rate, write_budget, write_filled; /* changes a second; 0: without limit */
   guint written;                                 /* changes so far */
   /* cloud */
-  GHashTable *requests;
+  GHashTable *requested; /* rentals, by their names */
   guint machine_number;
   GPtrArray *machines, *jobs;
   double lose, late; /* chances per message */
@@ -86,13 +102,20 @@
   gboolean boot_never;
   GPtrArray *broken; /* rules broken, as texts */
   guint started, ran;
+  WorldSize size;
+  double next_check;
+  GHashTable *by_uid;           /* WorldJob */
+  guint requests, rows_read;    /* of the state service */
+  guint rentals, most_returned; /* calls */
 };
 
 World *world_new (guint32 seed);
+World *world_new_sized (guint32 seed, const WorldSize *size);
 void world_free (World *w);
 void world_run (World *w, double until);
 void world_crash (World *w, guint node);
 void world_start (World *w, guint node);
+void world_wake (World *w, guint node); /* of a node that stands */
 WorldJob *world_add_job (World *w, double at, const char *team, guint n, double cpus, double run_s);
 WorldMachine *world_add_machine (World *w, const char *type, const char *zone, gboolean spot, double up_after);
 WorldTask *world_put_task (World *w, WorldMachine *m, WorldJob *job, guint task, guint64 attempt);
