Hand working machines over at a pace that fits the fleet, also while a takeover goes on

It also waited until every machine on record had answered, which a cut-off zone keeps from happening for a lease and more. Change: as many as there are within 10 s, still only while timers are late. A machine that is handed over has just shown all that is on it, so it waits for no other.

--- a/src/lease.c
+++ b/src/lease.c
@@ -22,7 +22,8 @@
 #define STEADY_S 3.0     /* and leases to it again once it has asked for so long */
 #define MOST_PER_ANSWER 160u
 #define UNLEVEL 0.7            /* a block this much smaller than the leader's gets machines that work */
-#define HAND_OVER_EVERY_S 0.25 /* each costs its machine a second or so: */
+#define HAND_OVER_EVERY_S 0.25 /* each costs its machine a second or so; of a large fleet more often: */
+#define HAND_OVER_ALL_S 10.0   /* as many machines as there are in so long */
 #define COUNT_EVERY_S 0.2
 #define LATE_S 0.015           /* only a leader whose timers are so late on average hands working machines over */
 
@@ -289,9 +290,10 @@
   Lessee *best;
   cJSON *body, *holds;
 
+  /* Nothing waits for the takeover to be over: this machine has just shown all that is on it. */
   if (c->dispatch->lag_s < LATE_S || hzb_time_before (now, leases->next_hand_over)
-      || machine->state != HZB_MACHINE_ACTIVE || !machine->confirmed || !machine->recorded || machine->unobeyed || c->hold != HZB_HOLD_FULL || !may_lend (c, machine)
-      || !hzb_election_proven (c->election))
+      || machine->state != HZB_MACHINE_ACTIVE || !machine->confirmed || !machine->recorded || machine->unobeyed
+      || !may_lend (c, machine) || !hzb_election_proven (c->election))
     return NULL;
   for (guint i = 0; i < machine->tasks->len; i++)
     {
@@ -304,7 +306,7 @@
   /* A higher token for the block would have all its machines wait for their next reports. */
   if (!best || (best->token && machine->token >= best->token))
     return NULL;
-  leases->next_hand_over = hzb_time_plus (now, HAND_OVER_EVERY_S);
+  leases->next_hand_over = hzb_time_plus (now, MIN (HAND_OVER_EVERY_S, HAND_OVER_ALL_S / c->machines->all->len));
   hzb_machine_empty_lists (c->jobs, machine);
   body = pack_machine (machine);
   holds = cJSON_AddArrayToObject (body, "holds");
