Move records of jobs that ended long ago out of what every node mirrors

Cause: a record of each job's end stays in the mirror of every node, some 600 bytes with its entry: at 95 jobs a minute a month of them takes 2 GB, and a node that starts reads them all. Change: beyond the newest 2,000 the leader moves them, in one transaction, to keys that are not mirrored. Whoever is asked about a job that the mirror, brought up to the moment, does not know reads that one key. Done and cancelled exclude each other by conditions on both keys. Who falls behind further than the service keeps changes holds nothing any more. Test: /world/old-ones-move, which fails when the old place is not read (tried by hand).

--- a/src/api.c
+++ b/src/api.c
@@ -135,8 +135,11 @@
 failed_by (const GPtrArray *failed, const char *uid)
 {
   for (guint i = 0; failed && i < failed->len; i++)
-    if (g_str_equal ((char *) failed->pdata[i] + strlen (HZB_KEY_JOBS), uid))
-      return TRUE;
+    {
+      const char *key = failed->pdata[i], *slash = strrchr (key, '/');
+      if (slash && g_str_equal (slash + 1, uid))
+        return TRUE;
+    }
   return FALSE;
 }
 
@@ -161,6 +164,55 @@
 
 /* ---- reading ---- */
 
+/* Neither the mirror nor the place of old records has it. */
+static void
+settle_unknown (HzbApi *api, Check *check)
+{
+  if (check->ask == ASK_SUBMITTED && check->refusal)
+    hzb_exchange_reply (check->exchange, 422, hzb_wire_error (check->refusal), 0);
+  else if (check->ask == ASK_SUBMITTED)
+    unable (check->exchange, "not decided"); /* a write without an answer may still come */
+  else
+    hzb_exchange_reply (check->exchange, 404, hzb_wire_error ("no such job"), 0);
+  check_free (check);
+}
+
+static void
+on_read_old (HzbStoreResult result, const char *body, gpointer user)
+{
+  Batch *batch = user;
+  HzbApi *api = batch->api;
+  Check *check = batch->entries->pdata[0];
+  HzbItem item = { 0 };
+
+  if (result == HZB_STORE_OK && hzb_wire_parse_item (body, &item))
+    {
+      const char *state = hzb_json_text (item.value, "state");
+      guint n = (guint) hzb_json_number (item.value, "n", 0);
+      hzb_exchange_reply (check->exchange, 200,
+                          hzb_wire_job_status (check->uid, state, check->ask == ASK_STATUS,
+                                               g_strcmp0 (state, "done") == 0 ? n : 0, 0), 0);
+      check_free (check);
+      hzb_item_clear (&item);
+    }
+  else if (result == HZB_STORE_ABSENT)
+    settle_unknown (api, check);
+  else
+    give_up (check, "the state service can't be asked");
+  batch_free (batch);
+}
+
+/* The mirror, brought up to this moment, does not know the job; what is over moves away from it in one transaction, so
+ * a job that was ever accepted is found in one of the two places, in this order. */
+static void
+read_old (HzbApi *api, Check *check)
+{
+  Batch *batch = batch_new (api);
+  g_autofree char *key = g_strconcat (HZB_KEY_ENDED, check->uid, NULL);
+  g_ptr_array_add (batch->entries, check);
+  hzb_store_get (api->c->store, HZB_STORE_READ, key, on_read_old, batch);
+}
+
 /* The record is known to be the newest: what was asked can be answered. */
 static void
 settle (HzbApi *api, Check *check)
@@ -172,14 +224,12 @@
       send_cancel (api, check);
       return;
     }
-  if (job)
-    reply_status (api, check->exchange, job, 200, check->ask == ASK_STATUS);
-  else if (check->ask == ASK_SUBMITTED && check->refusal)
-    hzb_exchange_reply (check->exchange, 422, hzb_wire_error (check->refusal), 0);
-  else if (check->ask == ASK_SUBMITTED)
-    unable (check->exchange, "not decided"); /* a write without an answer may still come */
-  else
-    hzb_exchange_reply (check->exchange, 404, hzb_wire_error ("no such job"), 0);
+  if (!job)
+    {
+      read_old (api, check);
+      return;
+    }
+  reply_status (api, check->exchange, job, 200, check->ask == ASK_STATUS);
   check_free (check);
 }
 
@@ -197,6 +247,8 @@
       hzb_item_clear (&item);
       settle (api, check);
     }
+  else if (result == HZB_STORE_ABSENT)
+    read_old (api, check); /* it has moved away */
   else
     give_up (check, "the state service can't be asked");
   batch_free (batch);
@@ -284,12 +336,19 @@
   flush_checks (api);
 }
 
+/* So many a transaction takes. */
+static guint
+conditions (HzbController *c)
+{
+  return CLAMP (c->settings->store_txn_ops * 4, 3, 256);
+}
+
 static void
 flush_checks (HzbApi *api)
 {
   HzbController *c = api->c;
   struct timespec now = hzb_clock_now (c->clock);
-  guint most = MIN (64, c->settings->store_txn_ops * 4);
+  guint most = conditions (c) / 2;
   Batch *batch;
   cJSON *txn;
 
@@ -301,8 +360,7 @@
   while (batch->entries->len < most && api->checks.length)
     {
       Check *check = g_queue_pop_head (&api->checks);
-      g_autofree char *key = g_strconcat (HZB_KEY_JOBS, check->uid, NULL);
-      hzb_wire_txn_if (txn, key, 0);
+      hzb_jobs_txn_if_not_over (txn, check->uid);
       g_ptr_array_add (batch->entries, check);
     }
   api->checking++;
@@ -382,7 +440,7 @@
   batch = batch_new (api);
   txn = hzb_wire_txn ();
   g_ptr_array_add (batch->entries, check);
-  hzb_wire_txn_if (txn, key, 0);
+  hzb_jobs_txn_if_not_over (txn, check->uid);
   hzb_wire_txn_put (txn, key, hzb_jobs_pack_final (HZB_JOB_CANCELLED, job->n_tasks), 0);
   hzb_store_txn (api->c->store, HZB_STORE_ACCEPT, txn, on_cancelled, batch);
 }
@@ -449,11 +507,10 @@
       cJSON *txn = hzb_wire_txn ();
       gsize bytes = 0, most = (gsize) (c->settings->store_value_kb * 1024) - 64;
       batch->record = cJSON_CreateObject ();
-      while (api->accepts.length && batch->entries->len < MIN (64, 4 * c->settings->store_txn_ops))
+      while (api->accepts.length && batch->entries->len < (conditions (c) - 1) / 2)
         {
           Accept *accept = g_queue_peek_head (&api->accepts);
           const char *uid = accept->spec->uid;
-          g_autofree char *key = g_strconcat (HZB_KEY_JOBS, uid, NULL);
           gsize length = strlen (accept->packed) + strlen (uid) + 8;
           if (hzb_time_before (accept->deadline, now))
             {
@@ -466,7 +523,7 @@
             break;
           g_queue_pop_head (&api->accepts);
           bytes += length;
-          hzb_wire_txn_if (txn, key, 0); /* not over long since */
+          hzb_jobs_txn_if_not_over (txn, uid); /* long since */
           cJSON_AddItemToObject (batch->record, uid, cJSON_Parse (accept->packed));
           g_ptr_array_add (batch->entries, accept);
         }
--- a/src/controller.c
+++ b/src/controller.c
@@ -15,8 +15,14 @@
 {
   if (g_str_has_prefix (item->key, HZB_KEY_JOBS))
     {
+      const char *uid = item->key + strlen (HZB_KEY_JOBS);
       if (item->value)
-        hzb_jobs_apply (c->jobs, item->key + strlen (HZB_KEY_JOBS), item->value, item->version);
+        hzb_jobs_apply (c->jobs, uid, item->value, item->version);
+      else
+        {
+          hzb_dispatch_forget (c->dispatch);
+          hzb_jobs_forget (c->jobs, uid); /* its record has moved to where old ones are */
+        }
     }
   else if (g_str_has_prefix (item->key, HZB_KEY_ACCEPTED))
     {
@@ -64,6 +70,8 @@
       HzbItem none = { (char *) HZB_KEY_LEADER, NULL, c->load_revision };
       hzb_election_item (c->election, &none);
     }
+  hzb_dispatch_forget (c->dispatch);
+  hzb_jobs_load_end (c->jobs);
   c->revision = c->load_revision;
   c->mirror = HZB_MIRROR_FOLLOWING;
   c->mirror_fresh = hzb_clock_now (c->clock);
@@ -80,7 +88,12 @@
 
   c->watching = FALSE;
   if (result == HZB_STORE_ABSENT)
-    c->mirror = HZB_MIRROR_EMPTY; /* too far behind: read anew */
+    {
+      c->mirror = HZB_MIRROR_EMPTY; /* too far behind: read anew */
+      /* Who has missed so much can't tell which of the jobs that it holds are over. */
+      hzb_election_step_down (c->election, "the mirror is too far behind");
+      hzb_controller_end_leased (c, "the mirror is too far behind");
+    }
   else if (!items)
     c->mirror_next = hzb_time_plus (hzb_clock_now (c->clock), 0.3);
   else
@@ -141,6 +154,7 @@
     {
       c->mirror = HZB_MIRROR_LOADING;
       c->load_saw_leader = FALSE;
+      hzb_jobs_load_begin (c->jobs);
       g_clear_pointer (&c->load_after, g_free);
       hzb_store_range (c->store, HZB_KEY_MIRROR, NULL, on_loaded, c);
     }
@@ -334,7 +348,7 @@
   key = g_strconcat (HZB_KEY_JOBS, job->uid, NULL);
   txn = hzb_wire_txn ();
   hzb_election_guard (c->election, txn);
-  hzb_wire_txn_if (txn, key, 0); /* it has not been cancelled */
+  hzb_jobs_txn_if_not_over (txn, job->uid); /* it has not been cancelled */
   hzb_wire_txn_put (txn, key, hzb_jobs_pack_final (HZB_JOB_DONE, job->n_tasks), 0);
   hzb_store_txn (c->store, HZB_STORE_ACCEPT, txn, on_ended, hzb_held_new (c, g_strdup (job->uid)));
 }
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -46,6 +46,16 @@
   g_free (d);
 }
 
+void
+hzb_dispatch_forget (HzbDispatch *d)
+{
+  for (guint c = 0; c < HZB_N_CLASSES; c++)
+    {
+      g_ptr_array_set_size (d->waiting[c], 0);
+      g_ptr_array_set_size (d->listers[c], 0);
+    }
+}
+
 void
 hzb_dispatch_note_lag (HzbDispatch *d, double late_s)
 {
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -31,6 +31,8 @@
 HzbMachine *hzb_dispatch_choose (HzbDispatch *dispatch, HzbJob *job, struct timespec now);
 /* Waiting tasks to lists, gangs to places. */
 void hzb_dispatch_run (HzbDispatch *dispatch, struct timespec now);
+/* Jobs or machines may be no more: what was found by the last run is dropped. */
+void hzb_dispatch_forget (HzbDispatch *dispatch);
 /* A report came: the distribution goes back to the booked work. */
 void hzb_dispatch_rebook (HzbDispatch *dispatch, HzbMachine *machine, struct timespec now);
 /* Orders for a machine that has just reported. */
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -5,6 +5,8 @@
 #include <math.h>
 #include <string.h>
 
+#define KEEP_ENDED 2000u /* more than users ask about often; 600 bytes each */
+
 static const char *const state_names[] = { "pending", "listed",  "unknown", "elsewhere", "granted", "booked",   "starting", "fetching",
                                            "waiting", "running", "saving",  "finished", "done" };
 
@@ -34,8 +36,10 @@
 static void
 acceptance_free (gpointer data)
 {
-  g_free (((HzbAcceptance *) data)->key);
-  g_free (data);
+  HzbAcceptance *acceptance = data;
+  g_ptr_array_unref (acceptance->jobs);
+  g_free (acceptance->key);
+  g_free (acceptance);
 }
 
 HzbJobs *
@@ -45,6 +49,7 @@
   jobs->by_uid = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, job_free);
   jobs->acceptances = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, acceptance_free);
   jobs->active = g_ptr_array_new ();
+  jobs->keep_ended = KEEP_ENDED;
   jobs->leanings = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   jobs->clock = clock;
   jobs->settings = settings;
@@ -54,6 +59,7 @@
 void
 hzb_jobs_free (HzbJobs *jobs)
 {
+  g_queue_clear (&jobs->ended);
   g_ptr_array_unref (jobs->active);
   g_hash_table_unref (jobs->leanings);
   g_hash_table_unref (jobs->by_uid);
@@ -95,6 +101,14 @@
   return value;
 }
 
+static void
+drop_acceptance (HzbJobs *jobs, HzbAcceptance *acceptance)
+{
+  for (guint i = 0; i < acceptance->jobs->len; i++)
+    ((HzbJob *) acceptance->jobs->pdata[i])->named--;
+  g_hash_table_remove (jobs->acceptances, acceptance->key);
+}
+
 HzbJob *
 hzb_jobs_apply (HzbJobs *jobs, const char *uid, const cJSON *value, guint64 version)
 {
@@ -103,6 +117,8 @@
   gboolean accepted = g_strcmp0 (state, "accepted") == 0;
   g_autoptr (HzbSpec) spec = NULL;
 
+  if (job)
+    job->load = jobs->load;
   if (job && (job->version || accepted))
     return job;
   if (accepted)
@@ -124,6 +140,7 @@
       job = g_new0 (HzbJob, 1);
       job->uid = g_strdup (uid);
       job->team = -1;
+      job->load = jobs->load;
       g_hash_table_insert (jobs->by_uid, job->uid, job);
     }
   if (accepted)
@@ -139,8 +156,13 @@
       return job;
     }
   job->version = version;
+  g_queue_push_tail (&jobs->ended, job);
   for (GSList *l = job->acceptances; l; l = l->next)
-    ((HzbAcceptance *) l->data)->open--;
+    {
+      HzbAcceptance *acceptance = l->data;
+      if (!--acceptance->open && acceptance->gone)
+        drop_acceptance (jobs, acceptance);
+    }
   g_clear_pointer (&job->acceptances, g_slist_free);
   job->state = g_str_equal (state, "done") ? HZB_JOB_DONE : HZB_JOB_CANCELLED;
   job->n_tasks = (guint) hzb_json_number (value, "n", job->n_tasks);
@@ -159,19 +181,29 @@
     {
       /* The records of its jobs' ends come before its removal, but perhaps not to this node. */
       if (acceptance && acceptance->open)
-        acceptance->removing = TRUE;
-      else
-        g_hash_table_remove (jobs->acceptances, key);
+        acceptance->removing = acceptance->gone = TRUE;
+      else if (acceptance)
+        drop_acceptance (jobs, acceptance);
       return;
     }
   if (acceptance)
-    return;
+    {
+      acceptance->load = jobs->load;
+      return;
+    }
   acceptance = g_new0 (HzbAcceptance, 1);
   acceptance->key = g_strdup (key);
+  acceptance->load = jobs->load;
+  acceptance->jobs = g_ptr_array_new ();
   g_hash_table_insert (jobs->acceptances, acceptance->key, acceptance);
   cJSON_ArrayForEach (entry, value)
     {
       HzbJob *job = hzb_jobs_apply (jobs, entry->string, entry, 0);
+      if (job)
+        {
+          job->named++;
+          g_ptr_array_add (acceptance->jobs, job);
+        }
       /* Guards against a job that two nodes have accepted: nodes may see the two records in different order, so
        * neither goes before the job is over. */
       if (job && !job->version)
@@ -194,6 +226,95 @@
   return NULL;
 }
 
+/* ---- old ones ---- */
+
+static gint
+by_version (gconstpointer a, gconstpointer b, gpointer user)
+{
+  const HzbJob *x = a, *y = b;
+  return x->version < y->version ? -1 : x->version > y->version;
+}
+
+GPtrArray *
+hzb_jobs_old (HzbJobs *jobs, guint most)
+{
+  GPtrArray *old = g_ptr_array_new ();
+  guint beyond = jobs->ended.length > jobs->keep_ended ? jobs->ended.length - jobs->keep_ended : 0;
+
+  if (!beyond)
+    return old;
+  g_queue_sort (&jobs->ended, by_version, NULL); /* after a reading of all they came in the order of their names */
+  for (GList *l = jobs->ended.head; l && beyond && old->len < most; l = l->next, beyond--)
+    {
+      HzbJob *job = l->data;
+      /* While a record of acceptance names it, a node that starts must find its end beside that. */
+      if (!job->named && !job->tasks && !job->moving)
+        g_ptr_array_add (old, job);
+    }
+  return old;
+}
+
+gboolean
+hzb_jobs_forget (HzbJobs *jobs, const char *uid)
+{
+  HzbJob *job = hzb_jobs_find (jobs, uid);
+  if (!job)
+    return TRUE;
+  if (job->tasks || job->named || job->state == HZB_JOB_ACCEPTED)
+    return FALSE;
+  g_queue_remove (&jobs->ended, job);
+  g_hash_table_remove (jobs->by_uid, uid);
+  return TRUE;
+}
+
+void
+hzb_jobs_load_begin (HzbJobs *jobs)
+{
+  jobs->load++;
+}
+
+/* Guards against a node that missed so much that it has to read all anew: a job that ended meanwhile, and whose records
+ * are gone, would be called accepted here for ever. */
+void
+hzb_jobs_load_end (HzbJobs *jobs)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_autoptr (GPtrArray) gone = g_ptr_array_new ();
+
+  g_hash_table_iter_init (&iter, jobs->acceptances);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((HzbAcceptance *) value)->load != jobs->load)
+      g_ptr_array_add (gone, value);
+  for (guint i = 0; i < gone->len; i++)
+    {
+      HzbAcceptance *acceptance = gone->pdata[i];
+      for (guint k = 0; k < acceptance->jobs->len; k++)
+        {
+          HzbJob *job = acceptance->jobs->pdata[k];
+          job->acceptances = g_slist_remove (job->acceptances, acceptance);
+        }
+      drop_acceptance (jobs, acceptance);
+    }
+  g_hash_table_iter_init (&iter, jobs->by_uid);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      HzbJob *job = value;
+      if (job->tasks || job->named || (job->version && job->load == jobs->load))
+        continue;
+      g_queue_remove (&jobs->ended, job);
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
+void
+hzb_jobs_txn_if_not_over (cJSON *txn, const char *uid)
+{
+  g_autofree char *recent = g_strconcat (HZB_KEY_JOBS, uid, NULL), *old = g_strconcat (HZB_KEY_ENDED, uid, NULL);
+  hzb_wire_txn_if (txn, recent, 0);
+  hzb_wire_txn_if (txn, old, 0);
+}
+
 /* ---- holding ---- */
 
 void
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -8,6 +8,8 @@
 /* Room for tenants: main is the only one so far. Jobs are accepted many to a record; how each ends has one of its own. */
 #define HZB_KEY_ACCEPTED "hzb/a/accepted/main/"
 #define HZB_KEY_JOBS "hzb/a/jobs/main/"
+/* Of jobs that ended long ago: not mirrored, since a month of them would not fit a node's memory. */
+#define HZB_KEY_ENDED "hzb/o/ended/main/"
 #define HZB_KEY_PROGRESS "hzb/x/progress/main/"
 #define HZB_CHUNK 32768u
 
@@ -60,6 +62,9 @@
   char *key;
   guint open; /* jobs in it that are not over */
   gboolean removing;
+  gboolean gone;   /* the record is removed, before the end of all its jobs has come here */
+  GPtrArray *jobs; /* all that it names */
+  guint load;
 } HzbAcceptance;
 
 struct _HzbJob
@@ -68,6 +73,9 @@
   HzbJobState state;
   guint64 version; /* of the record of its end; 0: there is none */
   GSList *acceptances; /* while it is not over: all that name it */
+  guint named;         /* records of acceptance that name it, over or not */
+  guint load;          /* the last reading of all records that showed it */
+  gboolean moving;     /* its record is on the way to where old ones are */
   guint n_tasks;
   struct timespec accepted; /* time of day */
   HzbSpec *spec;            /* NULL once over, unless tasks may still be about */
@@ -97,6 +105,9 @@
 {
   GHashTable *by_uid; /* uid -> HzbJob */
   GHashTable *acceptances; /* key -> HzbAcceptance */
+  GQueue ended;       /* HzbJob, over, about in the order of their ends */
+  guint keep_ended;   /* so many stay mirrored */
+  guint load;         /* counts readings of all records */
   GPtrArray *active;  /* the holder's: jobs with a part of it, by age */
   HzbClock *clock;
   const HzbSettings *settings;
@@ -112,6 +123,14 @@
 HzbJob *hzb_jobs_apply (HzbJobs *jobs, const char *uid, const cJSON *value, guint64 version);
 void hzb_jobs_take_acceptance (HzbJobs *jobs, const char *key, const cJSON *value); /* NULL: it is removed */
 HzbAcceptance *hzb_jobs_spent_acceptance (HzbJobs *jobs); /* one whose jobs are all over; NULL: none */
+/* Of the oldest that are over, beyond those that stay mirrored: up to so many whose record may move away. */
+GPtrArray *hzb_jobs_old (HzbJobs *jobs, guint most);
+gboolean hzb_jobs_forget (HzbJobs *jobs, const char *uid); /* its record has moved away; FALSE: it is kept */
+/* All records are read anew: what they do not show any more is dropped at the end. */
+void hzb_jobs_load_begin (HzbJobs *jobs);
+void hzb_jobs_load_end (HzbJobs *jobs);
+/* On condition that no record says that the job is over, recent or old. */
+void hzb_jobs_txn_if_not_over (cJSON *txn, const char *uid);
 cJSON *hzb_jobs_pack_accepted (const HzbSpec *spec, struct timespec wall);
 cJSON *hzb_jobs_pack_final (HzbJobState state, guint n_tasks);
 const char *hzb_job_status (const HzbJob *job);
--- a/src/records.c
+++ b/src/records.c
@@ -13,6 +13,7 @@
 #define FLUSH_EVERY_S 0.1 /* at the most, for what tasks wait for; the rest is written more seldom: */
 #define PROGRESS_EVERY_S 1.0
 #define CLEAN_EVERY_S 3.0
+#define MOVE_EVERY_S 1.0 /* records of jobs that ended long ago */
 #define PAGE_BYTES 12000u /* and less where values have to be smaller */
 #define TXN_BYTES 52000u
 #define RELEASE_STEP 64u
@@ -44,8 +45,8 @@
   GPtrArray *pages; /* Page */
   guint numbers;    /* used so far */
   guint64 version, flushes; /* of the flush record */
-  gboolean flushing;
-  struct timespec next, next_clean;
+  gboolean flushing, moving;
+  struct timespec next, next_clean, next_move;
 };
 
 static void
@@ -123,7 +124,7 @@
   g_ptr_array_set_size (r->pages, 0);
   r->numbers = 0;
   r->version = r->flushes = 0;
-  r->flushing = FALSE;
+  r->flushing = r->moving = FALSE;
 }
 
 /* ---- what is on pages ---- */
@@ -605,13 +606,74 @@
   hzb_store_txn (c->store, HZB_STORE_RECORD, txn, on_flushed, hzb_held_new (c, out));
 }
 
+/* ---- records of old jobs ---- */
+
+static void
+on_moved (HzbStoreResult result, const char *body, gpointer user)
+{
+  HzbHeld *held = user;
+  HzbController *c = held->c;
+  g_autoptr (GPtrArray) uids = held->data;
+  g_autoptr (GPtrArray) failed = NULL;
+
+  if (result == HZB_STORE_CONFLICT)
+    hzb_wire_parse_txn (body, NULL, &failed);
+  for (guint i = 0; i < uids->len && held->epoch == c->hold_epoch; i++)
+    {
+      HzbJob *job = hzb_jobs_find (c->jobs, uids->pdata[i]);
+      if (!job)
+        continue;
+      /* One that changed under us (moved by an earlier leader, which the mirror will show) is left alone. */
+      job->moving = FALSE;
+      for (guint k = 0; failed && k < failed->len; k++)
+        job->moving = job->moving || g_str_has_suffix (failed->pdata[k], job->uid);
+    }
+  if (held->epoch == c->hold_epoch)
+    c->records->moving = FALSE;
+  g_free (held);
+}
+
+/* Each is in one of the two places at any time: it moves in one transaction. */
+static void
+move_old (HzbRecords *r, struct timespec now)
+{
+  HzbController *c = r->c;
+  g_autoptr (GPtrArray) old = NULL;
+  GPtrArray *uids;
+  cJSON *txn;
+
+  if (r->moving || hzb_time_before (now, r->next_move))
+    return;
+  r->next_move = hzb_time_plus (now, MOVE_EVERY_S);
+  old = hzb_jobs_old (c->jobs, MAX (1, c->settings->store_txn_ops / 2));
+  if (!old->len)
+    return;
+  uids = g_ptr_array_new_with_free_func (g_free);
+  txn = hzb_wire_txn ();
+  hzb_election_guard (c->election, txn);
+  for (guint i = 0; i < old->len; i++)
+    {
+      HzbJob *job = old->pdata[i];
+      g_autofree char *from = g_strconcat (HZB_KEY_JOBS, job->uid, NULL), *to = g_strconcat (HZB_KEY_ENDED, job->uid, NULL);
+      hzb_wire_txn_if (txn, from, job->version);
+      hzb_wire_txn_put (txn, to, hzb_jobs_pack_final (job->state, job->n_tasks), 0);
+      hzb_wire_txn_delete (txn, from);
+      job->moving = TRUE;
+      g_ptr_array_add (uids, g_strdup (job->uid));
+    }
+  r->moving = TRUE;
+  hzb_store_txn (c->store, HZB_STORE_RECORD, txn, on_moved, hzb_held_new (c, uids));
+}
+
 void
 hzb_records_flush_soon (HzbRecords *r)
 {
   HzbController *c = r->c;
   struct timespec now = hzb_clock_now (c->clock);
-  if (r->flushing || c->hold < HZB_HOLD_RECOVERING || !hzb_election_leading (c->election)
-      || hzb_time_before (now, r->next))
+  if (c->hold < HZB_HOLD_RECOVERING || !hzb_election_leading (c->election))
+    return;
+  move_old (r, now);
+  if (r->flushing || hzb_time_before (now, r->next))
     return;
   r->next = hzb_time_plus (now, FLUSH_EVERY_S);
   flush (r, now);
--- a/tests/test-world.c
+++ b/tests/test-world.c
@@ -1082,6 +1082,57 @@
   world_free (w);
 }
 
+/* Records of jobs that ended long ago are not mirrored, and still answer: users go on asking, submit again and cancel,
+ * while nodes end and one misses so much that it has to read all anew. */
+static void
+test_old_ones_move (void)
+{
+  static const WorldSize size = { 12, 2, 24, 8, 1.5, 10, 30, 200, 60, 8, 6, 5, 4, 0 };
+  for (guint32 seed = 130; seed < 134; seed++)
+    {
+      World *w = world_new_sized (seed, &size);
+      guint moved = 0;
+      GHashTableIter iter;
+      gpointer key;
+      for (guint i = 0; i < 40; i++)
+        world_add_job (w, 1 + 2 * i, i % 2 ? "red" : "blue", 2, 1, 3)->wants_cancel = i % 4 == 3;
+      for (guint i = 0; i < 5; i++)
+        {
+          world_at (w, g_rand_double_range (w->rand, 20, 110), crash_one, NULL);
+          world_at (w, g_rand_double_range (w->rand, 20, 110), start_all, NULL);
+        }
+      world_run (w, 60);
+      if (seed % 2)
+        {
+          w->nodes[1].cut_store = TRUE; /* a while, in which much moves */
+          world_run (w, 85);
+          w->nodes[1].cut_store = FALSE;
+          if (w->nodes[1].c)
+            w->nodes[1].c->mirror = HZB_MIRROR_EMPTY; /* as when the changes since are not kept any more */
+        }
+      world_run (w, 112);
+      start_all (w, NULL);
+      world_run (w, 250);
+      g_hash_table_iter_init (&iter, w->kv);
+      while (g_hash_table_iter_next (&iter, &key, NULL))
+        {
+          moved += g_str_has_prefix (key, HZB_KEY_ENDED);
+          if (g_str_has_prefix (key, HZB_KEY_ENDED)) /* in one place only */
+            {
+              g_autofree char *other = g_strconcat (HZB_KEY_JOBS, (char *) key + strlen (HZB_KEY_ENDED), NULL);
+              g_assert_false (g_hash_table_contains (w->kv, other));
+            }
+        }
+      g_assert_cmpuint (moved, ==, 40 - size.keep_ended);
+      for (guint i = 0; i < WORLD_NODES; i++)
+        g_assert_cmpuint (g_hash_table_size (w->nodes[i].c->jobs->by_uid), ==, size.keep_ended);
+      /* Users come back long after, and one asks about what was never submitted. */
+      world_run (w, 300);
+      expect_all_over (w, "old ones move", seed);
+      world_free (w);
+    }
+}
+
 static void
 expect_broken (World *w, const char *rule, WorldJob *job, guint status, const char *state)
 {
@@ -1207,6 +1258,7 @@
   g_test_add_func ("/world/gang-loses-machine", test_gang_loses_machine);
   g_test_add_func ("/world/leader-loses-workers", test_leader_loses_workers);
   g_test_add_func ("/world/administration", test_administration);
+  g_test_add_func ("/world/old-ones-move", test_old_ones_move);
   g_test_add_func ("/world/lessee-ends", test_lessee_ends);
   g_test_add_func ("/world/lessee-cut-off", test_lessee_cut_off);
   g_test_add_func ("/world/leader-of-lessees-ends", test_leader_of_lessees_ends);
--- a/tests/world.c
+++ b/tests/world.c
@@ -1378,6 +1378,8 @@
   node->transport->at = at;
   node->transport->life = node->life;
   node->c = hzb_controller_new (settings, w->clock, &node->transport->parent, g_rand_int (w->rand));
+  if (w->size.keep_ended)
+    node->c->jobs->keep_ended = w->size.keep_ended;
 }
 
 /* What the process held is gone with it; its memory is left alone, as calls on their way still name it. */
@@ -1401,7 +1403,7 @@
 world_new (guint32 seed)
 {
   /* small pages, so that reading on is tried */
-  static const WorldSize little = { 12, 2, 24, 8, 1.5, 10, 30, 200, 60, 8, 6, 5, 0 };
+  static const WorldSize little = { 12, 2, 24, 8, 1.5, 10, 30, 200, 60, 8, 6, 5, 0, 0 };
   return world_new_sized (seed, &little);
 }
 
--- a/tests/world.h
+++ b/tests/world.h
@@ -74,6 +74,7 @@
   guint txn_ops;
   double cloud_rps;
   guint rows;        /* of a range read */
+  guint keep_ended;  /* jobs that are over stay mirrored; 0: as usual */
   double check_s;    /* the rules are checked so often; 0: after every event */
 } WorldSize;
 
