Size by need: machines given back, jobs shown to peers; a lease counts from its question

Names are now remembered for 15 minutes, 1,000 jobs are shown, and the lease counts from its question. Nothing rested on that time (docs/safety.md).

--- a/src/lessee.c
+++ b/src/lessee.c
@@ -240,7 +240,8 @@
           else if (c->hold == HZB_HOLD_LEASED && token > lessee->token)
             raise_token (lessee, token);
           lessee->answered = hzb_clock_now (c->clock);
-          lessee->valid_until = hzb_time_plus (hzb_clock_now (c->clock), hzb_json_number (root, "leaseS", 0));
+          /* From when it was asked for: after standing still the answer may be old. */
+          lessee->valid_until = hzb_time_plus (lessee->asked, hzb_json_number (root, "leaseS", 0));
           hzb_outbox_acknowledged (&lessee->out, hzb_json_u64 (root, "have"));
           cJSON_ArrayForEach (batch, cJSON_GetObjectItemCaseSensitive (root, "batches"))
             if (hzb_json_u64 (batch, "n") == lessee->in_number + 1)
--- a/src/peers.c
+++ b/src/peers.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #define MOST_RETIRED 64u
+#define MOST_SHOWN 1000u /* jobs whose counts go with a word: some 35 bytes each */
 #define BORN_SLACK_MS 1000u /* times of day differ a little */
 
 typedef struct
@@ -162,7 +163,7 @@
   if (c->hold >= HZB_HOLD_RECOVERING)
     {
       cJSON *list = cJSON_AddObjectToObject (root, "jobs");
-      for (guint i = 0; i < MIN (c->jobs->active->len, 200); i++)
+      for (guint i = 0; i < MIN (c->jobs->active->len, MOST_SHOWN); i++)
         {
           const HzbJob *job = c->jobs->active->pdata[i];
           int counts[2] = { (int) (job->done + job->finished), (int) (job->running + job->lent_running) };
--- a/src/rentals.c
+++ b/src/rentals.c
@@ -4,6 +4,7 @@
 #include <math.h>
 
 #define FORGET_SILENT_S 12.0
+#define REMEMBER_GONE_S 900.0 /* lists lag by seconds, copies of reports may come minutes late */
 
 struct _HzbRentals
 {
@@ -12,7 +13,7 @@
   guint renting, returning; /* calls on their way */
   guint64 rent_number;      /* of request names, in this term */
   char *list_after;
-  GHashTable *gone;   /* names given back: lists lag */
+  GHashTable *gone;   /* names given back and when (struct timespec): lists lag */
   GHashTable *listed; /* names in the pages read so far */
   struct timespec list_began, next_list, next_types, next_return, next_plan;
 };
@@ -117,12 +118,13 @@
 machine_is_gone (HzbController *c, HzbMachine *m)
 {
   HzbRentals *r = c->rentals;
+  struct timespec *now;
   hzb_records_drop_machine (c->records, m);
   hzb_machine_lose_tasks (c->jobs, m);
   hzb_machine_set_state (c->machines, m, HZB_MACHINE_GONE, "the cloud has confirmed it");
-  if (g_hash_table_size (r->gone) > 2000)
-    g_hash_table_remove_all (r->gone);
-  g_hash_table_add (r->gone, g_strdup (m->name));
+  now = g_new (struct timespec, 1);
+  *now = hzb_clock_now (c->clock);
+  g_hash_table_replace (r->gone, g_strdup (m->name), now);
   hzb_machines_remove (c->machines, m);
 }
 
@@ -221,6 +223,12 @@
     }
 }
 
+static gboolean
+is_long_gone (gpointer name, gpointer since, gpointer now)
+{
+  return hzb_time_between (*(struct timespec *) since, *(struct timespec *) now) > REMEMBER_GONE_S;
+}
+
 static void
 on_listed (guint status, const char *body, gsize length, gpointer user)
 {
@@ -263,7 +271,10 @@
   if (!more)
     g_clear_pointer (&r->list_after, g_free);
   if (listed && !more)
-    drop_unlisted (c, now);
+    {
+      drop_unlisted (c, now);
+      g_hash_table_foreach_remove (r->gone, is_long_gone, &now);
+    }
   r->next_list = hzb_time_plus (now, more ? 0.3 : MAX (4, c->settings->list_lag_s));
 }
 
@@ -324,7 +335,7 @@
   HzbRentals *r = g_new0 (HzbRentals, 1);
   r->c = c;
   r->listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  r->gone = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  r->gone = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return r;
 }
 
