Samples are of machines that can be chosen; the search and what gives way get files of their own

Cause (by reading): a leader of five nodes has lent four fifths of its machines, and a sample of eight out of all found hardly one that could take anything: while timers are late it would have placed almost nothing. The looks of a run counted lent machines as well. Test: /dispatch/sample-of-usable.

--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -1,12 +1,11 @@
-#include "dispatch.h"
+#include "give-way.h"
+#include "search.h"
 
 #include <math.h>
 #include <string.h>
 
 /* What lower-priority work on a machine counts for a task that could have it stopped. */
 #define PREEMPTIBLE_PART 0.3
-#define NEARLY_DONE_S 5.0
-#define FETCH_WEIGHT 2.0
 /* Where the least goes first, the largest would wait for as long as smaller ones keep coming. Users want the largest
  * to begin within four minutes: after half of that the first task of any job goes before all but urgent work. */
 #define BEGIN_BY_S 120.0
@@ -25,6 +24,7 @@
   d->h = 0.5;
   d->list_ahead_s = 8;
   d->sample = 8;
+  d->usable = g_ptr_array_new ();
   for (guint c = 0; c < HZB_N_CLASSES; c++)
     {
       d->waiting[c] = g_ptr_array_new ();
@@ -41,6 +41,7 @@
       g_ptr_array_unref (d->waiting[c]);
       g_ptr_array_unref (d->listers[c]);
     }
+  g_ptr_array_unref (d->usable);
   g_free (d->ahead_cpus);
   g_free (d->ahead_gpus);
   g_free (d);
@@ -49,6 +50,7 @@
 void
 hzb_dispatch_forget (HzbDispatch *d)
 {
+  g_ptr_array_set_size (d->usable, 0);
   for (guint c = 0; c < HZB_N_CLASSES; c++)
     {
       g_ptr_array_set_size (d->waiting[c], 0);
@@ -80,31 +82,6 @@
   return spec->checkpoint_s > 0 ? spec->save_s + 1 : 0;
 }
 
-static double
-remaining_s (const HzbTask *task, struct timespec now)
-{
-  double mean = hzb_job_mean_s (task->job);
-  if (task->state == HZB_TASK_RUNNING)
-    return MAX (mean - hzb_time_between (task->since, now), 0.15 * mean);
-  return mean;
-}
-
-static gboolean
-may_preempt (HzbDispatch *d, const HzbJob *needy, const HzbTask *victim)
-{
-  const HzbBlock *block = d->jobs->block;
-  const HzbJob *other = victim->job;
-  const HzbTeam *team;
-
-  if (other->spec->urgency < needy->spec->urgency)
-    return TRUE;
-  if (!needy->guaranteed || other->team == needy->team || other->guaranteed)
-    return FALSE;
-  team = d->settings->teams->pdata[other->team];
-  return block->cpus[other->team] - other->spec->cpus >= team->cpus - 1e-6
-         && block->gpus[other->team] - other->spec->gpus >= team->gpus - 1e-6;
-}
-
 void
 hzb_dispatch_rebook (HzbDispatch *d, HzbMachine *m, struct timespec now)
 {
@@ -123,7 +100,7 @@
     {
       const HzbTask *task = m->tasks->pdata[i];
       guint class = task->job->class, v = MAX (1, hzb_type_speed (m->type, task->job->spec));
-      double work = remaining_s (task, now) / v;
+      double work = hzb_task_remaining_s (task, now) / v;
       for (guint c = 0; c < HZB_N_CLASSES; c++)
         booked[c] += c <= class ? work : work * PREEMPTIBLE_PART;
     }
@@ -140,176 +117,24 @@
   m->stale_estimate = FALSE;
 }
 
-static double
-fetch_s (const HzbMachine *m, const HzbSpec *spec)
-{
-  double alone = spec->image_gb / MAX (m->type->fetch_gb_per_s, 1e-3);
-  if (g_hash_table_contains (m->images, spec->image))
-    return 0;
-  if (g_hash_table_contains (m->expected, spec->image))
-    return 0.5 * alone;
-  /* A machine fetches once for all tasks of the image, and fetches share the rate: images that are kept
-   * together cost less than the wait of the one task says. */
-  return FETCH_WEIGHT * alone * (1 + g_hash_table_size (m->expected));
-}
-
-/* samePlace and spread, given the job's tasks that are, or may be, on machines. */
-static gboolean
-zone_allowed (const HzbJob *job, const HzbMachine *m)
-{
-  guint here = 0;
-
-  if (!job->spec->same_zone && !job->spec->spread)
-    return TRUE;
-  if (job->unknown)
-    return FALSE;
-  for (guint i = 0; i < job->n_tasks; i++)
-    {
-      const HzbTask *task = &job->tasks[i];
-      if (!hzb_task_on_machine (task))
-        continue;
-      if (g_str_equal (task->machine->zone, m->zone))
-        here++;
-      else if (job->spec->same_zone)
-        return FALSE;
-    }
-  return !job->spec->spread || here + 1 <= (job->n_tasks + 1) / 2;
-}
-
-/* ---- the search for the least U + h/v ---- */
-
-/* One job's: its tasks are all alike, so the machines are looked at once, and after a task was sent only the machine that
- * took it has another workload. What is found is the same as by looking at every machine for every task. */
-typedef struct
-{
-  HzbDispatch *d;
-  HzbJob *job;
-  struct timespec now;
-  double *speeds; /* by type */
-  GArray *heap;   /* Offer, the least first */
-} Search;
-
-typedef struct
-{
-  double cost;
-  guint at; /* of two equal offers the earlier machine's goes first */
-  HzbMachine *m;
-} Offer;
-
-static double
-offer_cost (const Search *search, HzbMachine *m)
-{
-  HzbEstimate *estimate = &m->estimates[search->job->class];
-  hzb_estimate_shift (estimate, search->now);
-  return hzb_estimate_mean (estimate) + search->d->h * hzb_job_mean_s (search->job) / search->speeds[m->type->index]
-         + fetch_s (m, search->job->spec);
-}
-
-static gboolean
-may_take (const Search *search, const HzbMachine *m)
-{
-  const HzbSpec *spec = search->job->spec;
-  return hzb_machine_usable (m) && search->speeds[m->type->index] >= 1 /* those that hold none are skipped */
-         && (spec->spot || !m->spot) && (!spec->zone || g_str_equal (spec->zone, m->zone))
-         && !(m->last_failed_job && g_str_equal (m->last_failed_job, search->job->uid));
-}
-
-static gboolean
-goes_first (const Offer *a, const Offer *b)
-{
-  return a->cost < b->cost || (a->cost == b->cost && a->at < b->at);
-}
-
-static void
-sift_down (GArray *heap, guint at)
-{
-  Offer *offers = (Offer *) (gpointer) heap->data;
-  for (;;)
-    {
-      guint least = at;
-      for (guint child = 2 * at + 1; child <= 2 * at + 2 && child < heap->len; child++)
-        if (goes_first (&offers[child], &offers[least]))
-          least = child;
-      if (least == at)
-        return;
-      Offer swap = offers[at];
-      offers[at] = offers[least];
-      offers[least] = swap;
-      at = least;
-    }
-}
-
-static void
-search_clear (Search *search)
-{
-  g_free (search->speeds);
-  g_array_unref (search->heap);
-}
-
-G_DEFINE_AUTO_CLEANUP_CLEAR_FUNC (Search, search_clear)
-
-static void
-search_begin (Search *search, HzbDispatch *d, HzbJob *job, struct timespec now)
-{
-  GPtrArray *types = d->machines->types;
-  search->d = d;
-  search->job = job;
-  search->now = now;
-  search->heap = g_array_new (FALSE, FALSE, sizeof (Offer));
-  search->speeds = g_new0 (double, types ? types->len + 1 : 1);
-  for (guint i = 0; types && i < types->len; i++)
-    search->speeds[i] = hzb_type_speed (types->pdata[i], job->spec);
-}
-
-/* Looks at some machines, or at all (looks 0). */
+/* A leader has lent most machines: samples are taken of those that can be chosen. */
 static void
-search_look (Search *search, guint looks)
+index_usable (HzbDispatch *d)
 {
-  HzbDispatch *d = search->d;
-  guint n = d->machines->all->len;
-  gboolean some = looks && looks < n;
-  guint first = some ? (guint) g_rand_int_range (d->rand, 0, (gint32) n) : 0, step = some ? n / looks : 1;
-
-  g_array_set_size (search->heap, 0);
-  if (!some)
-    looks = n;
-  d->looks += looks;
-  for (guint i = 0; i < looks; i++)
-    {
-      Offer offer = { 0, (first + i * step) % n, NULL };
-      offer.m = d->machines->all->pdata[offer.at];
-      if (!may_take (search, offer.m))
-        continue;
-      offer.cost = offer_cost (search, offer.m);
-      g_array_append_val (search->heap, offer);
-    }
-  for (guint i = search->heap->len / 2; i-- > 0;)
-    sift_down (search->heap, i);
-}
-
-/* NULL: no machine may hold it. */
-static HzbMachine *
-search_best (const Search *search)
-{
-  return search->heap->len ? g_array_index (search->heap, Offer, 0).m : NULL;
-}
-
-/* A task was sent to the best. */
-static void
-search_sent (Search *search)
-{
-  Offer *best = &g_array_index (search->heap, Offer, 0);
-  best->cost = offer_cost (search, best->m);
-  sift_down (search->heap, 0);
+  g_ptr_array_set_size (d->usable, 0);
+  for (guint i = 0; i < d->machines->all->len; i++)
+    if (hzb_machine_usable (d->machines->all->pdata[i]))
+      g_ptr_array_add (d->usable, d->machines->all->pdata[i]);
 }
 
 HzbMachine *
 hzb_dispatch_choose (HzbDispatch *d, HzbJob *job, struct timespec now)
 {
-  g_auto (Search) search = { 0 };
-  search_begin (&search, d, job, now);
-  search_look (&search, d->lagging ? d->sample : 0);
-  return search_best (&search);
+  g_auto (HzbSearch) search = { 0 };
+  index_usable (d);
+  hzb_search_begin (&search, d, job, now);
+  hzb_search_look (&search, d->lagging ? d->sample : 0);
+  return hzb_search_best (&search);
 }
 
 /* Seconds that the tasks of this class and higher ones in the machine's list will take it. */
@@ -510,7 +335,7 @@
                   || m->memory + spec->memory_gb * (taken[i] + 1) > m->type->memory_gb + 1e-6)
                 continue;
               hzb_estimate_shift (&m->estimates[job->class], now);
-              cost = hzb_estimate_mean (&m->estimates[job->class]) + fetch_s (m, spec);
+              cost = hzb_estimate_mean (&m->estimates[job->class]) + hzb_fetch_s (m, spec);
               if (cost < least)
                 {
                   least = cost;
@@ -558,80 +383,6 @@
   return FALSE;
 }
 
-static double preempt_after_s (HzbDispatch *d, const HzbJob *job);
-
-/* What stopping the task would cost, in seconds of its work; above 1e9: it is not to be stopped. */
-static double
-stop_cost (const HzbTask *task, struct timespec now)
-{
-  const HzbSpec *spec = task->job->spec;
-  if (task->stopping || spec->gang || (task->state != HZB_TASK_RUNNING && task->state != HZB_TASK_FETCHING))
-    return INFINITY;
-  if (task->state == HZB_TASK_FETCHING)
-    return 0;
-  if (remaining_s (task, now) < NEARLY_DONE_S)
-    return INFINITY;
-  return (spec->checkpoint_s > 0 ? spec->save_s : hzb_time_between (task->since, now)) * spec->cpus;
-}
-
-typedef struct
-{
-  double cost;
-  HzbTask *task;
-} Victim;
-
-static gint
-cheapest_first (gconstpointer a, gconstpointer b)
-{
-  const Victim *x = a, *y = b;
-  return x->cost < y->cost ? -1 : x->cost > y->cost;
-}
-
-/* Urgent tasks that their own team's limit keeps waiting: lower work of the team gives way. Its stop is sent
- * with the answer to its machine's next report. */
-static void
-make_room_in_team (HzbDispatch *d, const HzbJob *needy, struct timespec now)
-{
-  const HzbBlock *block = d->jobs->block;
-  int team = needy->team;
-  double lack, limit = block->cpus_allowed[team];
-  g_autoptr (GArray) victims = g_array_new (FALSE, FALSE, sizeof (Victim));
-
-  if (needy->spec->gang || hzb_time_between (needy->since, now) < preempt_after_s (d, needy))
-    return;
-  lack = block->cpus[team] + MIN ((needy->pending + needy->listed) * needy->spec->cpus, limit) - limit;
-  for (guint i = 0; i < d->jobs->active->len && lack > 1e-6; i++)
-    {
-      const HzbJob *job = d->jobs->active->pdata[i];
-      for (guint k = 0; job->team == team && job->placed && k < job->n_tasks; k++)
-        if (job->tasks[k].stopping)
-          lack -= job->spec->cpus;
-    }
-  if (lack <= 1e-6)
-    return;
-  for (guint i = 0; i < d->jobs->active->len; i++)
-    {
-      const HzbJob *job = d->jobs->active->pdata[i];
-      if (job->team != team || job->spec->urgency >= needy->spec->urgency)
-        continue;
-      for (guint k = 0; job->placed && k < job->n_tasks; k++)
-        {
-          Victim victim = { stop_cost (&job->tasks[k], now), &job->tasks[k] };
-          if (!isfinite (victim.cost))
-            continue;
-          victim.cost = victim.cost / MAX (job->spec->cpus, 1e-3) + job->spec->urgency * 1e4;
-          g_array_append_val (victims, victim);
-        }
-    }
-  g_array_sort (victims, cheapest_first);
-  for (guint i = 0; i < victims->len && lack > 1e-6; i++)
-    {
-      HzbTask *task = g_array_index (victims, Victim, i).task;
-      task->stopping = TRUE;
-      lack -= task->job->spec->cpus;
-    }
-}
-
 /* Some machine of any block could take it. */
 static gboolean
 has_machine (HzbDispatch *d, const HzbSpec *spec)
@@ -669,28 +420,28 @@
 {
   const HzbBlock *block = d->jobs->block;
   const HzbSpec *spec = job->spec;
-  g_auto (Search) search = { 0 };
-  gboolean sampled = d->lagging || *looks < d->machines->all->len;
+  g_auto (HzbSearch) search = { 0 };
+  gboolean sampled = d->lagging || *looks < d->usable->len;
 
-  search_begin (&search, d, job, now);
+  hzb_search_begin (&search, d, job, now);
   if (!sampled)
     {
-      *looks -= d->machines->all->len;
-      search_look (&search, 0);
+      *looks -= d->usable->len;
+      hzb_search_look (&search, 0);
     }
   while (*budget && hzb_block_fits (block, job->team, cpus[job->team] + spec->cpus, gpus[job->team] + spec->gpus))
     {
       HzbTask *task;
       HzbMachine *m;
       if (sampled)
-        search_look (&search, d->sample);
-      m = has_its_one (job) ? NULL : search_best (&search);
+        hzb_search_look (&search, d->sample);
+      m = has_its_one (job) ? NULL : hzb_search_best (&search);
       /* No machine, or even the least loaded has work for a while: it waits here, where what comes later and is
        * more pressing can still go first. Only what a machine could take is asked for, and so released. */
       if (!m || listed_s (m, job->class) > d->list_ahead_s || !(task = hzb_job_next_pending (job, now)))
         break;
       put_on_list (d, task, m, now);
-      search_sent (&search);
+      hzb_search_sent (&search);
       cpus[job->team] += spec->cpus;
       gpus[job->team] += spec->gpus;
       (*budget)--;
@@ -709,10 +460,11 @@
   guint budget = d->lagging ? 50 : 400, looks = LOOKS_PER_RUN;
 
   hzb_dispatch_classes (d, now);
-  for (guint i = 0; i < d->machines->all->len; i++)
+  index_usable (d);
+  for (guint i = 0; i < d->usable->len; i++)
     {
-      HzbMachine *m = d->machines->all->pdata[i];
-      if (m->stale_estimate && hzb_machine_usable (m))
+      HzbMachine *m = d->usable->pdata[i];
+      if (m->stale_estimate)
         hzb_dispatch_rebook (d, m, now);
     }
   memset (d->ahead_cpus, 0, n * HZB_N_CLASSES * sizeof (double));
@@ -764,7 +516,7 @@
       if (!hzb_block_fits (block, job->team, cpus[job->team] + spec->cpus, gpus[job->team] + spec->gpus))
         {
           if (spec->urgency >= HZB_URGENCY_HIGH)
-            make_room_in_team (d, job, now);
+            hzb_give_way_in_team (d, job, now);
           continue;
         }
       list_tasks (d, job, cpus, gpus, &budget, &looks, now);
@@ -807,7 +559,7 @@
 static gboolean
 startable (HzbDispatch *d, const HzbTask *task, const HzbMachine *m)
 {
-  return task->job->state == HZB_JOB_ACCEPTED && hzb_dispatch_team_may_use (d, task->job) && zone_allowed (task->job, m);
+  return task->job->state == HZB_JOB_ACCEPTED && hzb_dispatch_team_may_use (d, task->job) && hzb_zone_allowed (task->job, m);
 }
 
 static void
@@ -901,144 +653,6 @@
       }
 }
 
-static double
-preempt_after_s (HzbDispatch *d, const HzbJob *job)
-{
-  double after = 10;
-  for (guint i = 0; i < d->settings->objectives->len; i++)
-    {
-      const HzbObjective *o = d->settings->objectives->pdata[i];
-      if ((g_strcmp0 (o->kind, "wait") == 0 && g_strcmp0 (o->lane, job->spec->lane) == 0)
-          || (g_strcmp0 (o->kind, "guarantee") == 0 && job->guaranteed))
-        after = MIN (after, o->within_s * 0.45);
-    }
-  return after;
-}
-
-/* Stops lower work for tasks of this machine's list that have waited long enough. */
-static void
-preempt (HzbDispatch *d, HzbMachine *m, struct timespec now, GArray *orders)
-{
-  double cpus = m->type->cpus - m->cpus, gpus = m->type->gpus - m->gpus, memory = m->type->memory_gb - m->memory;
-  guint looks = 0;
-
-  for (guint i = 0; i < m->tasks->len; i++)
-    {
-      const HzbTask *task = m->tasks->pdata[i];
-      if (task->stopping)
-        {
-          cpus += task->job->spec->cpus;
-          gpus += task->job->spec->gpus;
-          memory += task->job->spec->memory_gb;
-        }
-    }
-  for (guint class = HZB_N_CLASSES - 1; class >= 3; class--)
-    for (GList *l = m->lists[class].head; l && looks < 32; l = l->next, looks++)
-      {
-        HzbTask *needy = l->data;
-        const HzbSpec *spec = needy->job->spec;
-        /* Over the team's limit only the team's own lower work can make room. */
-        gboolean own = !hzb_block_fits (d->jobs->block, needy->job->team, spec->cpus, spec->gpus);
-        if (needy->job->state != HZB_JOB_ACCEPTED || !zone_allowed (needy->job, m)
-            || hzb_time_between (needy->job->since, now) < preempt_after_s (d, needy->job))
-          continue;
-        if (own && cpus + 1e-6 >= spec->cpus)
-          continue;
-        while (cpus + 1e-6 < spec->cpus || gpus + 1e-6 < spec->gpus || memory + 1e-6 < spec->memory_gb)
-          {
-            HzbTask *victim = NULL;
-            double least = INFINITY;
-            HzbOrder order = { HZB_ORDER_STOP, NULL, 0, 0, 0 };
-            for (guint i = 0; i < m->tasks->len; i++)
-              {
-                HzbTask *task = m->tasks->pdata[i];
-                double cost = stop_cost (task, now);
-                if (!isfinite (cost) || (own && task->job->team != needy->job->team) || !may_preempt (d, needy->job, task))
-                  continue;
-                cost += task->job->spec->urgency * 1e4;
-                if (cost < least)
-                  {
-                    least = cost;
-                    victim = task;
-                  }
-              }
-            if (!victim)
-              return;
-            victim->stopping = TRUE;
-            order.uid = victim->job->uid;
-            order.task = victim->index;
-            order.attempt = victim->attempt;
-            order.grace_s = hzb_spec_grace_s (victim->job->spec);
-            g_array_append_val (orders, order);
-            cpus += victim->job->spec->cpus;
-            gpus += victim->job->spec->gpus;
-            memory += victim->job->spec->memory_gb;
-          }
-        cpus -= spec->cpus;
-        gpus -= spec->gpus;
-        memory -= spec->memory_gb;
-      }
-}
-
-/* ---- emptying machines ---- */
-
-#define MOVE_LEFT_S 20.0 /* what should be over sooner ends where it is */
-#define MOVE_PART 0.6    /* of a machine: what is fuller is worth its price */
-
-/* Room for the tasks that would have to go for the machine to be empty soon; below 0: it can't be. */
-static double
-would_move (const HzbMachine *m, struct timespec now)
-{
-  double cpus = 0;
-  for (guint i = 0; i < m->tasks->len; i++)
-    {
-      const HzbTask *task = m->tasks->pdata[i];
-      if (remaining_s (task, now) < MOVE_LEFT_S || task->stopping)
-        continue;
-      if (task->job->spec->checkpoint_s <= 0 || task->job->spec->gang || task->state != HZB_TASK_RUNNING
-          || hzb_time_between (task->since, now) < MOVE_LEFT_S)
-        return -1;
-      cpus += task->job->spec->cpus;
-    }
-  return cpus;
-}
-
-void
-hzb_dispatch_consolidate (HzbDispatch *d, struct timespec now)
-{
-  double free = 0;
-
-  for (guint i = 0; i < d->machines->all->len; i++)
-    {
-      const HzbMachine *m = d->machines->all->pdata[i];
-      if (hzb_machine_usable (m))
-        free += m->type->cpus - m->cpus;
-    }
-  for (guint i = 0; i < d->jobs->active->len; i++)
-    {
-      const HzbJob *job = d->jobs->active->pdata[i];
-      if (job->state == HZB_JOB_ACCEPTED)
-        free -= (job->pending + job->listed) * job->spec->cpus;
-    }
-  for (guint i = 0; i < d->machines->all->len && free > 0; i++)
-    {
-      HzbMachine *m = d->machines->all->pdata[i];
-      double cpus;
-      if (m->state != HZB_MACHINE_ACTIVE || !m->spare || !m->type || m->cpus > MOVE_PART * m->type->cpus)
-        continue;
-      cpus = would_move (m, now);
-      if (cpus <= 0 || cpus > free)
-        continue;
-      free -= cpus;
-      for (guint k = 0; k < m->tasks->len; k++)
-        {
-          HzbTask *task = m->tasks->pdata[k];
-          if (remaining_s (task, now) >= MOVE_LEFT_S)
-            task->stopping = TRUE; /* it is told with the answer to the next report */
-        }
-    }
-}
-
 void
 hzb_dispatch_fill (HzbDispatch *d, HzbMachine *m, struct timespec now, GArray *orders)
 {
@@ -1084,5 +698,5 @@
         }
       start_waiting (d, m, (guint) class, now, orders);
     }
-  preempt (d, m, now, orders);
+  hzb_give_way_on (d, m, now, orders);
 }
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -17,6 +17,7 @@
   double *ahead_cpus, *ahead_gpus; /* [team][class]: what waits and goes first */
   /* As of the last run, so that a report costs no look at every machine or job: */
   GPtrArray *waiting[HZB_N_CLASSES]; /* HzbJob, in the order of service */
+  GPtrArray *usable;                 /* HzbMachine that may take work */
   GPtrArray *listers[HZB_N_CLASSES]; /* HzbMachine that have such work in their lists */
   guint generation;                  /* of the machines, when listers were found */
   gboolean gang_waits;
@@ -41,10 +42,10 @@
 void hzb_dispatch_note_lag (HzbDispatch *dispatch, double late_s);
 gint hzb_dispatch_order (gconstpointer a, gconstpointer b); /* HzbJob**, the first served first */
 double hzb_job_mean_s (const HzbJob *job);
-/* One more task of the job may be started: its team's limit allows it, besides what goes first. */
 /* Tasks that can save leave machines that are to go back and are half empty, where others have room for them. */
 void hzb_dispatch_consolidate (HzbDispatch *d, struct timespec now);
 double hzb_spec_grace_s (const HzbSpec *spec); /* with which a task that can save is stopped */
+/* One more task of the job may be started: its team's limit allows it, besides what goes first. */
 gboolean hzb_dispatch_team_may_use (HzbDispatch *dispatch, const HzbJob *job);
 void hzb_dispatch_started (HzbDispatch *dispatch, const HzbJob *job); /* one more was */
 /* The classes of waiting work, from priorities, guarantees and what the aims leave of time. */
--- /dev/null
+++ b/src/give-way.c
@@ -0,0 +1,262 @@
+#include "give-way.h"
+
+#include <math.h>
+
+#define NEARLY_DONE_S 5.0
+
+double
+hzb_task_remaining_s (const HzbTask *task, struct timespec now)
+{
+  double mean = hzb_job_mean_s (task->job);
+  if (task->state == HZB_TASK_RUNNING)
+    return MAX (mean - hzb_time_between (task->since, now), 0.15 * mean);
+  return mean;
+}
+
+/* samePlace and spread, given the job's tasks that are, or may be, on machines. */
+gboolean
+hzb_zone_allowed (const HzbJob *job, const HzbMachine *m)
+{
+  guint here = 0;
+
+  if (!job->spec->same_zone && !job->spec->spread)
+    return TRUE;
+  if (job->unknown)
+    return FALSE;
+  for (guint i = 0; i < job->n_tasks; i++)
+    {
+      const HzbTask *task = &job->tasks[i];
+      if (!hzb_task_on_machine (task))
+        continue;
+      if (g_str_equal (task->machine->zone, m->zone))
+        here++;
+      else if (job->spec->same_zone)
+        return FALSE;
+    }
+  return !job->spec->spread || here + 1 <= (job->n_tasks + 1) / 2;
+}
+
+static gboolean
+may_preempt (HzbDispatch *d, const HzbJob *needy, const HzbTask *victim)
+{
+  const HzbBlock *block = d->jobs->block;
+  const HzbJob *other = victim->job;
+  const HzbTeam *team;
+
+  if (other->spec->urgency < needy->spec->urgency)
+    return TRUE;
+  if (!needy->guaranteed || other->team == needy->team || other->guaranteed)
+    return FALSE;
+  team = d->settings->teams->pdata[other->team];
+  return block->cpus[other->team] - other->spec->cpus >= team->cpus - 1e-6
+         && block->gpus[other->team] - other->spec->gpus >= team->gpus - 1e-6;
+}
+
+static double
+preempt_after_s (HzbDispatch *d, const HzbJob *job)
+{
+  double after = 10;
+  for (guint i = 0; i < d->settings->objectives->len; i++)
+    {
+      const HzbObjective *o = d->settings->objectives->pdata[i];
+      if ((g_strcmp0 (o->kind, "wait") == 0 && g_strcmp0 (o->lane, job->spec->lane) == 0)
+          || (g_strcmp0 (o->kind, "guarantee") == 0 && job->guaranteed))
+        after = MIN (after, o->within_s * 0.45);
+    }
+  return after;
+}
+
+/* What stopping the task would cost, in seconds of its work; above 1e9: it is not to be stopped. */
+static double
+stop_cost (const HzbTask *task, struct timespec now)
+{
+  const HzbSpec *spec = task->job->spec;
+  if (task->stopping || spec->gang || (task->state != HZB_TASK_RUNNING && task->state != HZB_TASK_FETCHING))
+    return INFINITY;
+  if (task->state == HZB_TASK_FETCHING)
+    return 0;
+  if (hzb_task_remaining_s (task, now) < NEARLY_DONE_S)
+    return INFINITY;
+  return (spec->checkpoint_s > 0 ? spec->save_s : hzb_time_between (task->since, now)) * spec->cpus;
+}
+
+typedef struct
+{
+  double cost;
+  HzbTask *task;
+} Victim;
+
+static gint
+cheapest_first (gconstpointer a, gconstpointer b)
+{
+  const Victim *x = a, *y = b;
+  return x->cost < y->cost ? -1 : x->cost > y->cost;
+}
+
+/* Urgent tasks that their own team's limit keeps waiting: lower work of the team gives way. Its stop is sent
+ * with the answer to its machine's next report. */
+void
+hzb_give_way_in_team (HzbDispatch *d, const HzbJob *needy, struct timespec now)
+{
+  const HzbBlock *block = d->jobs->block;
+  int team = needy->team;
+  double lack, limit = block->cpus_allowed[team];
+  g_autoptr (GArray) victims = g_array_new (FALSE, FALSE, sizeof (Victim));
+
+  if (needy->spec->gang || hzb_time_between (needy->since, now) < preempt_after_s (d, needy))
+    return;
+  lack = block->cpus[team] + MIN ((needy->pending + needy->listed) * needy->spec->cpus, limit) - limit;
+  for (guint i = 0; i < d->jobs->active->len && lack > 1e-6; i++)
+    {
+      const HzbJob *job = d->jobs->active->pdata[i];
+      for (guint k = 0; job->team == team && job->placed && k < job->n_tasks; k++)
+        if (job->tasks[k].stopping)
+          lack -= job->spec->cpus;
+    }
+  if (lack <= 1e-6)
+    return;
+  for (guint i = 0; i < d->jobs->active->len; i++)
+    {
+      const HzbJob *job = d->jobs->active->pdata[i];
+      if (job->team != team || job->spec->urgency >= needy->spec->urgency)
+        continue;
+      for (guint k = 0; job->placed && k < job->n_tasks; k++)
+        {
+          Victim victim = { stop_cost (&job->tasks[k], now), &job->tasks[k] };
+          if (!isfinite (victim.cost))
+            continue;
+          victim.cost = victim.cost / MAX (job->spec->cpus, 1e-3) + job->spec->urgency * 1e4;
+          g_array_append_val (victims, victim);
+        }
+    }
+  g_array_sort (victims, cheapest_first);
+  for (guint i = 0; i < victims->len && lack > 1e-6; i++)
+    {
+      HzbTask *task = g_array_index (victims, Victim, i).task;
+      task->stopping = TRUE;
+      lack -= task->job->spec->cpus;
+    }
+}
+
+void
+hzb_give_way_on (HzbDispatch *d, HzbMachine *m, struct timespec now, GArray *orders)
+{
+  double cpus = m->type->cpus - m->cpus, gpus = m->type->gpus - m->gpus, memory = m->type->memory_gb - m->memory;
+  guint looks = 0;
+
+  for (guint i = 0; i < m->tasks->len; i++)
+    {
+      const HzbTask *task = m->tasks->pdata[i];
+      if (task->stopping)
+        {
+          cpus += task->job->spec->cpus;
+          gpus += task->job->spec->gpus;
+          memory += task->job->spec->memory_gb;
+        }
+    }
+  for (guint class = HZB_N_CLASSES - 1; class >= 3; class--)
+    for (GList *l = m->lists[class].head; l && looks < 32; l = l->next, looks++)
+      {
+        HzbTask *needy = l->data;
+        const HzbSpec *spec = needy->job->spec;
+        /* Over the team's limit only the team's own lower work can make room. */
+        gboolean own = !hzb_block_fits (d->jobs->block, needy->job->team, spec->cpus, spec->gpus);
+        if (needy->job->state != HZB_JOB_ACCEPTED || !hzb_zone_allowed (needy->job, m)
+            || hzb_time_between (needy->job->since, now) < preempt_after_s (d, needy->job))
+          continue;
+        if (own && cpus + 1e-6 >= spec->cpus)
+          continue;
+        while (cpus + 1e-6 < spec->cpus || gpus + 1e-6 < spec->gpus || memory + 1e-6 < spec->memory_gb)
+          {
+            HzbTask *victim = NULL;
+            double least = INFINITY;
+            HzbOrder order = { HZB_ORDER_STOP, NULL, 0, 0, 0 };
+            for (guint i = 0; i < m->tasks->len; i++)
+              {
+                HzbTask *task = m->tasks->pdata[i];
+                double cost = stop_cost (task, now);
+                if (!isfinite (cost) || (own && task->job->team != needy->job->team) || !may_preempt (d, needy->job, task))
+                  continue;
+                cost += task->job->spec->urgency * 1e4;
+                if (cost < least)
+                  {
+                    least = cost;
+                    victim = task;
+                  }
+              }
+            if (!victim)
+              return;
+            victim->stopping = TRUE;
+            order.uid = victim->job->uid;
+            order.task = victim->index;
+            order.attempt = victim->attempt;
+            order.grace_s = hzb_spec_grace_s (victim->job->spec);
+            g_array_append_val (orders, order);
+            cpus += victim->job->spec->cpus;
+            gpus += victim->job->spec->gpus;
+            memory += victim->job->spec->memory_gb;
+          }
+        cpus -= spec->cpus;
+        gpus -= spec->gpus;
+        memory -= spec->memory_gb;
+      }
+}
+
+/* ---- emptying machines ---- */
+
+#define MOVE_LEFT_S 20.0 /* what should be over sooner ends where it is */
+#define MOVE_PART 0.6    /* of a machine: what is fuller is worth its price */
+
+/* Room for the tasks that would have to go for the machine to be empty soon; below 0: it can't be. */
+static double
+would_move (const HzbMachine *m, struct timespec now)
+{
+  double cpus = 0;
+  for (guint i = 0; i < m->tasks->len; i++)
+    {
+      const HzbTask *task = m->tasks->pdata[i];
+      if (hzb_task_remaining_s (task, now) < MOVE_LEFT_S || task->stopping)
+        continue;
+      if (task->job->spec->checkpoint_s <= 0 || task->job->spec->gang || task->state != HZB_TASK_RUNNING
+          || hzb_time_between (task->since, now) < MOVE_LEFT_S)
+        return -1;
+      cpus += task->job->spec->cpus;
+    }
+  return cpus;
+}
+
+void
+hzb_dispatch_consolidate (HzbDispatch *d, struct timespec now)
+{
+  double free = 0;
+
+  for (guint i = 0; i < d->machines->all->len; i++)
+    {
+      const HzbMachine *m = d->machines->all->pdata[i];
+      if (hzb_machine_usable (m))
+        free += m->type->cpus - m->cpus;
+    }
+  for (guint i = 0; i < d->jobs->active->len; i++)
+    {
+      const HzbJob *job = d->jobs->active->pdata[i];
+      if (job->state == HZB_JOB_ACCEPTED)
+        free -= (job->pending + job->listed) * job->spec->cpus;
+    }
+  for (guint i = 0; i < d->machines->all->len && free > 0; i++)
+    {
+      HzbMachine *m = d->machines->all->pdata[i];
+      double cpus;
+      if (m->state != HZB_MACHINE_ACTIVE || !m->spare || !m->type || m->cpus > MOVE_PART * m->type->cpus)
+        continue;
+      cpus = would_move (m, now);
+      if (cpus <= 0 || cpus > free)
+        continue;
+      free -= cpus;
+      for (guint k = 0; k < m->tasks->len; k++)
+        {
+          HzbTask *task = m->tasks->pdata[k];
+          if (hzb_task_remaining_s (task, now) >= MOVE_LEFT_S)
+            task->stopping = TRUE; /* it is told with the answer to the next report */
+        }
+    }
+}
--- /dev/null
+++ b/src/search.c
@@ -0,0 +1,125 @@
+#include "search.h"
+
+#define FETCH_WEIGHT 2.0
+
+double
+hzb_fetch_s (const HzbMachine *m, const HzbSpec *spec)
+{
+  double alone = spec->image_gb / MAX (m->type->fetch_gb_per_s, 1e-3);
+  if (g_hash_table_contains (m->images, spec->image))
+    return 0;
+  if (g_hash_table_contains (m->expected, spec->image))
+    return 0.5 * alone;
+  /* A machine fetches once for all tasks of the image, and fetches share the rate: images that are kept
+   * together cost less than the wait of the one task says. */
+  return FETCH_WEIGHT * alone * (1 + g_hash_table_size (m->expected));
+}
+
+typedef struct
+{
+  double cost;
+  guint at; /* of two equal offers the earlier machine's goes first */
+  HzbMachine *m;
+} Offer;
+
+static double
+offer_cost (const HzbSearch *search, HzbMachine *m)
+{
+  HzbEstimate *estimate = &m->estimates[search->job->class];
+  hzb_estimate_shift (estimate, search->now);
+  return hzb_estimate_mean (estimate) + search->d->h * hzb_job_mean_s (search->job) / search->speeds[m->type->index]
+         + hzb_fetch_s (m, search->job->spec);
+}
+
+static gboolean
+may_take (const HzbSearch *search, const HzbMachine *m)
+{
+  const HzbSpec *spec = search->job->spec;
+  return hzb_machine_usable (m) && search->speeds[m->type->index] >= 1 /* those that hold none are skipped */
+         && (spec->spot || !m->spot) && (!spec->zone || g_str_equal (spec->zone, m->zone))
+         && !(m->last_failed_job && g_str_equal (m->last_failed_job, search->job->uid));
+}
+
+static gboolean
+goes_first (const Offer *a, const Offer *b)
+{
+  return a->cost < b->cost || (a->cost == b->cost && a->at < b->at);
+}
+
+static void
+sift_down (GArray *heap, guint at)
+{
+  Offer *offers = (Offer *) (gpointer) heap->data;
+  for (;;)
+    {
+      guint least = at;
+      for (guint child = 2 * at + 1; child <= 2 * at + 2 && child < heap->len; child++)
+        if (goes_first (&offers[child], &offers[least]))
+          least = child;
+      if (least == at)
+        return;
+      Offer swap = offers[at];
+      offers[at] = offers[least];
+      offers[least] = swap;
+      at = least;
+    }
+}
+
+void
+hzb_search_clear (HzbSearch *search)
+{
+  g_free (search->speeds);
+  g_array_unref (search->heap);
+}
+
+void
+hzb_search_begin (HzbSearch *search, HzbDispatch *d, HzbJob *job, struct timespec now)
+{
+  GPtrArray *types = d->machines->types;
+  search->d = d;
+  search->job = job;
+  search->now = now;
+  search->heap = g_array_new (FALSE, FALSE, sizeof (Offer));
+  search->speeds = g_new0 (double, types ? types->len + 1 : 1);
+  for (guint i = 0; types && i < types->len; i++)
+    search->speeds[i] = hzb_type_speed (types->pdata[i], job->spec);
+}
+
+void
+hzb_search_look (HzbSearch *search, guint looks)
+{
+  HzbDispatch *d = search->d;
+  guint n = d->usable->len;
+  gboolean some = looks && looks < n; /* all, if that is no more */
+  guint first = some ? (guint) g_rand_int_range (d->rand, 0, (gint32) n) : 0, step = some ? n / looks : 1;
+
+  g_array_set_size (search->heap, 0);
+  if (!some)
+    looks = n;
+  d->looks += looks;
+  for (guint i = 0; i < looks; i++)
+    {
+      Offer offer = { 0, (first + i * step) % n, NULL };
+      offer.m = d->usable->pdata[offer.at];
+      if (!may_take (search, offer.m))
+        continue;
+      offer.cost = offer_cost (search, offer.m);
+      g_array_append_val (search->heap, offer);
+    }
+  for (guint i = search->heap->len / 2; i-- > 0;)
+    sift_down (search->heap, i);
+}
+
+HzbMachine *
+hzb_search_best (const HzbSearch *search)
+{
+  return search->heap->len ? g_array_index (search->heap, Offer, 0).m : NULL;
+}
+
+void
+hzb_search_sent (HzbSearch *search)
+{
+  Offer *best = &g_array_index (search->heap, Offer, 0);
+  best->cost = offer_cost (search, best->m);
+  sift_down (search->heap, 0);
+}
--- /dev/null
+++ b/src/search.h
@@ -0,0 +1,22 @@
+/* The search for the least U + h/v, one for each job and run: a job's tasks are all alike, so the machines are looked at
+ * once, and after a task was sent only the machine that took it has another workload. What is found is the same as by
+ * looking at every machine for every task. */
+#pragma once
+#include "dispatch.h"
+
+typedef struct
+{
+  HzbDispatch *d;
+  HzbJob *job;
+  struct timespec now;
+  double *speeds; /* by type */
+  GArray *heap;   /* Offer, the least first */
+} HzbSearch;
+
+void hzb_search_begin (HzbSearch *search, HzbDispatch *dispatch, HzbJob *job, struct timespec now);
+void hzb_search_clear (HzbSearch *search);
+G_DEFINE_AUTO_CLEANUP_CLEAR_FUNC (HzbSearch, hzb_search_clear)
+void hzb_search_look (HzbSearch *search, guint looks); /* at so many usable machines, or at all (0) */
+HzbMachine *hzb_search_best (const HzbSearch *search); /* NULL: no machine may hold it */
+void hzb_search_sent (HzbSearch *search);              /* a task was sent to the best */
+double hzb_fetch_s (const HzbMachine *machine, const HzbSpec *spec);
--- a/tests/test-dispatch.c
+++ b/tests/test-dispatch.c
@@ -88,6 +88,26 @@
   bench_down (&b);
 }
 
+/* Most machines are lent: a sample is of the others, or little would be found. */
+static void
+test_sample_of_usable (void)
+{
+  Bench b;
+  HzbJob *job;
+  bench_up (&b, 5);
+  for (guint i = 0; i < 400; i++)
+    {
+      HzbMachine *m = bench_machine (&b, "small", "za", FALSE);
+      if (i % 100)
+        hzb_machine_set_state (b.machines, m, HZB_MACHINE_LENT, "test");
+    }
+  job = bench_job (&b, "red", HZB_URGENCY_NORMAL, 1, 1, 5);
+  b.dispatch->lagging = TRUE;
+  for (guint i = 0; i < 50; i++)
+    g_assert_nonnull (hzb_dispatch_choose (b.dispatch, job, hzb_clock_now (b.clock)));
+  bench_down (&b);
+}
+
 /* Sampling goes on after a second or so of late timers, not at one, and off once they are on time again. */
 static void
 test_lag (void)
@@ -383,6 +403,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/dispatch/rule-plain-model", test_rule);
   g_test_add_func ("/dispatch/sampling", test_sampling);
+  g_test_add_func ("/dispatch/sample-of-usable", test_sample_of_usable);
   g_test_add_func ("/dispatch/lag", test_lag);
   g_test_add_func ("/dispatch/limit", test_limit);
   g_test_add_func ("/dispatch/unplaceable-keeps-nothing", test_unplaceable_keeps_nothing);
