--- a/tests/test-scale.c
+++ b/tests/test-scale.c
@@ -1,7 +1,7 @@
 /* Many machines: what a decision costs, counted, and that the rules hold while many fall together. Bounds are by count,
  * nothing here looks at how long anything takes. */
 #include "support.h"
-#include "world.h"
+#include "troubles.h"
 
 #define MACHINES 1800u
 
@@ -61,15 +61,6 @@
 
 /* ---- worlds ---- */
 
-static void
-expect_no_fault (World *w, const char *what)
-{
-  for (guint i = 0; i < w->broken->len && i < 5; i++)
-    g_test_message ("%s", (char *) w->broken->pdata[i]);
-  if (w->broken->len)
-    g_error ("%s: %s", what, (char *) w->broken->pdata[0]);
-}
-
 static void
 many_jobs (World *w, guint n, double over_s, double run_s)
 {
@@ -90,7 +81,7 @@
     world_add_machine (w, i % 3 ? "small" : "big", i % 2 ? "za" : "zb", TRUE, g_rand_double_range (w->rand, 1, 5));
   many_jobs (w, jobs, 10, run_s);
   world_run (w, 25);
-  expect_no_fault (w, "a large fleet at work");
+  expect_no_fault (w, "a large fleet at work", 0);
   return w;
 }
 
@@ -116,19 +107,6 @@
   return n;
 }
 
-static void
-expect_over (World *w, const char *what)
-{
-  world_check_end (w);
-  expect_no_fault (w, what);
-  for (guint i = 0; i < w->jobs->len; i++)
-    {
-      const WorldJob *job = w->jobs->pdata[i];
-      if (!job->told_done && !job->told_cancelled)
-        g_error ("%s: %s is not over", what, job->uid);
-    }
-}
-
 /* Half of the machines stop within three seconds. */
 static void
 test_half_falls (void)
@@ -145,12 +123,12 @@
     }
   rentals = w->rentals;
   world_run (w, w->now + 60);
-  expect_no_fault (w, "half falls");
+  expect_no_fault (w, "half falls", 0);
   /* Within the cloud's rate of calls, and no more than what lacks. */
   g_assert_cmpuint (w->rentals - rentals, <, 60 * 15);
   g_assert_cmpuint (alive (w), <=, MACHINES);
   world_run (w, 400);
-  expect_over (w, "half falls");
+  expect_all_over (w, "half falls", 0);
   world_free (w);
 }
 
@@ -173,7 +151,7 @@
   started = w->started;
   written = w->written;
   world_run (w, began + 25); /* no lease is over, no machine can have been given back */
-  expect_no_fault (w, "takeover");
+  expect_no_fault (w, "takeover", 0);
   g_assert_cmpint (world_leader (w), !=, -1);
   g_assert_cmpuint (w->started - started, >, 100);
   g_assert_cmpuint (w->written - written, <, 25 * 70);
@@ -181,7 +159,7 @@
   for (guint i = 0; i < w->machines->len; i++)
     ((WorldMachine *) w->machines->pdata[i])->cut = FALSE;
   world_run (w, 700);
-  expect_over (w, "takeover");
+  expect_all_over (w, "takeover", 0);
   world_free (w);
 }
 
@@ -212,9 +190,9 @@
   for (guint i = 0; i < w->machines->len; i++)
     g_assert_cmpuint (((WorldMachine *) w->machines->pdata[i])->session, ==, 1);
   g_assert_cmpuint (running (w), >, work / 2);
-  expect_no_fault (w, "begin anew");
+  expect_no_fault (w, "begin anew", 0);
   world_run (w, 700);
-  expect_over (w, "begin anew");
+  expect_all_over (w, "begin anew", 0);
   world_free (w);
 }
 
@@ -237,9 +215,9 @@
   world_run (w, w->now + 13);
   world_wake (w, (guint) old);
   world_run (w, w->now + 30);
-  expect_no_fault (w, "stands still");
+  expect_no_fault (w, "stands still", 0);
   world_run (w, 500);
-  expect_over (w, "stands still");
+  expect_all_over (w, "stands still", 0);
   world_free (w);
 }
 
