A node that lost its mirror holds nothing until it has read all anew

Cause (by reading the change that moves old records): a node that was too far behind could lead again, or be leased a block, while it was still reading; a job of its old mirror whose records had moved away meanwhile would then have been activated, and tasks of a cancelled job started. Now all is read only once nothing is held, and nothing is held before it has been read. /world/old-ones-move goes this way.

--- a/src/controller.c
+++ b/src/controller.c
@@ -79,6 +79,15 @@
   mirror_step (c);
 }
 
+/* Too far behind: all is read anew. Who has missed so much can't tell which of the jobs that it holds are over. */
+void
+hzb_controller_lose_mirror (HzbController *c)
+{
+  c->mirror = HZB_MIRROR_EMPTY;
+  hzb_election_step_down (c->election, "the mirror is too far behind");
+  hzb_controller_end_leased (c, "the mirror is too far behind");
+}
+
 static void
 on_watched (HzbStoreResult result, const char *body, gpointer user)
 {
@@ -88,12 +97,7 @@
 
   c->watching = FALSE;
   if (result == HZB_STORE_ABSENT)
-    {
-      c->mirror = HZB_MIRROR_EMPTY; /* too far behind: read anew */
-      /* Who has missed so much can't tell which of the jobs that it holds are over. */
-      hzb_election_step_down (c->election, "the mirror is too far behind");
-      hzb_controller_end_leased (c, "the mirror is too far behind");
-    }
+    hzb_controller_lose_mirror (c);
   else if (!items)
     c->mirror_next = hzb_time_plus (hzb_clock_now (c->clock), 0.3);
   else
@@ -152,6 +156,8 @@
     return;
   if (c->mirror == HZB_MIRROR_EMPTY)
     {
+      if (c->hold != HZB_HOLD_NONE)
+        return; /* what is held is given up first: a job that is over must not be taken for open because of it */
       c->mirror = HZB_MIRROR_LOADING;
       c->load_saw_leader = FALSE;
       hzb_jobs_load_begin (c->jobs);
@@ -574,7 +580,7 @@
   if (hzb_election_leading (c->election) && c->hold != HZB_HOLD_NONE
       && hzb_token_leader (c->block->token) != hzb_election_term (c->election))
     end_hold (c); /* elected anew before the loss was seen */
-  if (hzb_election_leading (c->election) && c->hold == HZB_HOLD_NONE
+  if (hzb_election_leading (c->election) && c->hold == HZB_HOLD_NONE && c->mirror == HZB_MIRROR_FOLLOWING
       && hzb_election_leader_seen (c->election))
     begin_hold (c);
   else if (!hzb_election_leading (c->election) && c->hold > HZB_HOLD_LEASED)
--- a/src/controller.h
+++ b/src/controller.h
@@ -86,6 +86,7 @@
 /* Brings the mirror up to this moment; FALSE: it could not be. */
 typedef void (*HzbSyncFunc) (gboolean fresh, gpointer user);
 void hzb_controller_sync (HzbController *c, HzbSyncFunc done, gpointer user);
+void hzb_controller_lose_mirror (HzbController *c);
 void hzb_controller_take_item (HzbController *c, const HzbItem *item);
 void hzb_controller_end_job (HzbController *c, HzbJob *job); /* all its tasks have finished */
 
--- a/src/lessee.c
+++ b/src/lessee.c
@@ -231,7 +231,7 @@
     {
       if (cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (root, "end")))
         hzb_controller_end_leased (c, "the leader took the block back");
-      else if (token)
+      else if (token && (c->hold == HZB_HOLD_LEASED || (c->hold == HZB_HOLD_NONE && c->mirror == HZB_MIRROR_FOLLOWING)))
         {
           if (c->hold == HZB_HOLD_NONE)
             {
--- a/tests/test-records.c
+++ b/tests/test-records.c
@@ -138,7 +138,7 @@
           world_run (w, 85);
           w->nodes[1].cut_store = FALSE;
           if (w->nodes[1].c)
-            w->nodes[1].c->mirror = HZB_MIRROR_EMPTY; /* as when the changes since are not kept any more */
+            hzb_controller_lose_mirror (w->nodes[1].c); /* as when the changes since are not kept any more */
         }
       world_run (w, 112);
       start_all (w, NULL);
