World tests at 1,800 machines: bounds near what is needed, tried by hand whether they can fail

The bound on changes after a takeover let six times as many pass. Now 250 in 25 s (90 are needed; 606 with pages written at each report), 60 rentals after half of the fleet fell (2 are needed), 1,500 requests when all nodes begin anew (465).

--- a/tests/test-scale.c
+++ b/tests/test-scale.c
@@ -124,8 +124,8 @@
   rentals = w->rentals;
   world_run (w, w->now + 60);
   expect_no_fault (w, "half falls", 0);
-  /* Within the cloud's rate of calls, and no more than what lacks. */
-  g_assert_cmpuint (w->rentals - rentals, <, 60 * 15);
+  /* No wave of calls: one plan a second, and no more than what lacks. */
+  g_assert_cmpuint (w->rentals - rentals, <, 60);
   g_assert_cmpuint (alive (w), <=, MACHINES);
   world_run (w, 400);
   expect_all_over (w, "half falls", 0);
@@ -154,7 +154,8 @@
   expect_no_fault (w, "takeover", 0);
   g_assert_cmpint (world_leader (w), !=, -1);
   g_assert_cmpuint (w->started - started, >, 100);
-  g_assert_cmpuint (w->written - written, <, 25 * 70);
+  /* Progress once a second, and what waits at once: with pages written at each report it is 600 (tried by hand). */
+  g_assert_cmpuint (w->written - written, <, 25 * 10);
   world_start (w, at);
   for (guint i = 0; i < w->machines->len; i++)
     ((WorldMachine *) w->machines->pdata[i])->cut = FALSE;
@@ -184,7 +185,7 @@
     g_assert_true (hzb_controller_ready (w->nodes[i].c));
   /* Each reads what there is once, and the leader the holder's part. */
   g_assert_cmpuint (w->rows_read - rows, <=, (WORLD_NODES + 1) * g_hash_table_size (w->kv) + 20);
-  g_assert_cmpuint (w->requests - requests, <, 8 * 800);
+  g_assert_cmpuint (w->requests - requests, <, 1500);
   world_run (w, began + 24);
   /* Nothing that ran was lost: no lease has ended. */
   for (guint i = 0; i < w->machines->len; i++)
