A cancellation is told only once no holder can act without it

The leader takes both for one outage, can't see the cancellations and renews the leases of their tasks for as long as it lasts. Ruled out: the peers' words (all are silent alike once the outage has begun) and the watch (it waits while the leader is refused).

Whoever is to tell a user asks the holder, with the question that a lessee asks anyway; the holder takes the cancellation from it and answers once nothing of the job is unknown and each lessee that was granted a task of it has acknowledged it. Beside the flush record the holder says how far it has come, for when it can't be reached.

--- a/src/api.c
+++ b/src/api.c
@@ -8,6 +8,7 @@
 #define MOST_ACCEPTS 256u
 #define MOST_CHECKS 512u
 #define CHECK_EVERY_S 0.03
+#define HEAR_S 1.2 /* the holder, and its lessees, have so long to hear of a cancellation; then its user is told to come back */
 
 /* What a request waits for. */
 typedef enum
@@ -38,6 +39,7 @@
 {
   HzbController *c;
   GQueue checks, syncs, accepts; /* waiting to be sent */
+  GQueue hearings;               /* Check: of cancelled jobs, until every holder has heard of it */
   guint checking, syncing, accepting;
   guint records; /* of acceptances, by this process */
   struct timespec next_check;
@@ -104,7 +106,8 @@
 {
   Check *check;
   Accept *accept;
-  while ((check = g_queue_pop_head (&api->checks)) || (check = g_queue_pop_head (&api->syncs)))
+  while ((check = g_queue_pop_head (&api->checks)) || (check = g_queue_pop_head (&api->syncs))
+         || (check = g_queue_pop_head (&api->hearings)))
     {
       hzb_exchange_reply (check->exchange, 503, NULL, 1);
       check_free (check);
@@ -162,6 +165,65 @@
   hzb_exchange_reply (exchange, status, hzb_wire_job_status (job->uid, text, counts, done, running), 0);
 }
 
+/* A job's final state, or one that is proven fresh. Of a cancelled one nothing is told before no holder can act without
+ * its cancellation: whoever is told so counts on it. */
+static void
+tell (HzbApi *api, Check *check, HzbJob *job)
+{
+  HzbController *c = api->c;
+
+  if (job->state != HZB_JOB_CANCELLED || hzb_cancellations_effective (c->cancellations, job))
+    {
+      reply_status (api, check->exchange, job, 200, check->ask == ASK_STATUS);
+      check_free (check);
+    }
+  else if (!hzb_cancellations_ask (c->cancellations, job) || api->hearings.length >= MOST_CHECKS)
+    give_up (check, "not every controller has heard of the cancellation");
+  else
+    {
+      check->deadline = hzb_time_plus (hzb_clock_now (c->clock), HEAR_S);
+      g_queue_push_tail (&api->hearings, check);
+    }
+}
+
+static void
+tend_hearings (HzbApi *api)
+{
+  HzbController *c = api->c;
+  struct timespec now = hzb_clock_now (c->clock);
+
+  for (GList *l = api->hearings.head; l;)
+    {
+      GList *next = l->next;
+      Check *check = l->data;
+      HzbJob *job = hzb_jobs_find (c->jobs, check->uid);
+      if (!job || hzb_cancellations_effective (c->cancellations, job))
+        {
+          g_queue_delete_link (&api->hearings, l);
+          if (job)
+            tell (api, check, job);
+          else
+            give_up (check, "not decided"); /* its record has moved away meanwhile */
+        }
+      else if (!hzb_time_before (now, check->deadline))
+        {
+          g_queue_delete_link (&api->hearings, l);
+          give_up (check, "not every controller has heard of the cancellation");
+        }
+      l = next;
+    }
+}
+
+static Check *
+check_new (HzbExchange *exchange, const char *uid, Ask ask)
+{
+  Check *check = g_new0 (Check, 1);
+  check->exchange = exchange;
+  check->uid = g_strdup (uid);
+  check->ask = ask;
+  return check;
+}
+
 /* ---- reading ---- */
 
 /* done gets a batch of this one check. */
@@ -236,8 +298,7 @@
       read_old (api, check);
       return;
     }
-  reply_status (api, check->exchange, job, 200, check->ask == ASK_STATUS);
-  check_free (check);
+  tell (api, check, job);
 }
 
 static void
@@ -386,10 +447,7 @@
       hzb_exchange_reply (exchange, ask == ASK_SUBMITTED ? 429 : 503, hzb_wire_error ("too much is asked at once"), 2);
       return;
     }
-  check = g_new0 (Check, 1);
-  check->exchange = exchange;
-  check->uid = g_strdup (uid);
-  check->ask = ask;
+  check = check_new (exchange, uid, ask);
   check->refusal = g_strdup (refusal);
   check->deadline = hzb_time_plus (hzb_clock_now (api->c->clock), 3);
   if (!hzb_jobs_find (api->c->jobs, uid))
@@ -471,8 +529,11 @@
       gboolean over = failed_by (failed, uid);
       if (result == HZB_STORE_OK)
         {
-          const HzbJob *job = hzb_jobs_find (c->jobs, uid);
-          hzb_exchange_reply (accept->exchange, 201, hzb_wire_job_status (uid, job ? hzb_job_status (job) : "queued", FALSE, 0, 0), 0);
+          HzbJob *job = hzb_jobs_find (c->jobs, uid);
+          if (job && job->state == HZB_JOB_CANCELLED)
+            tell (api, check_new (accept->exchange, uid, ASK_SUBMITTED), job);
+          else
+            hzb_exchange_reply (accept->exchange, 201, hzb_wire_job_status (uid, job ? hzb_job_status (job) : "queued", FALSE, 0, 0), 0);
         }
       else if (result == HZB_STORE_CONFLICT && !over && batch->entries->len > 1)
         {
@@ -481,11 +542,8 @@
         }
       else if (result == HZB_STORE_CONFLICT || result == HZB_STORE_UNKNOWN)
         {
-          Check *check = g_new0 (Check, 1);
-          check->exchange = accept->exchange;
-          check->uid = g_strdup (uid);
           /* Not there: it may still come, so the user is told to come back. */
-          check->ask = ASK_SUBMITTED;
+          Check *check = check_new (accept->exchange, uid, ASK_SUBMITTED);
           if (over)
             read_check (api, check);
           else
@@ -600,7 +658,7 @@
   HzbController *c = api->c;
   g_autoptr (GError) error = NULL;
   g_autoptr (HzbSpec) spec = hzb_wire_parse_job (exchange->body, exchange->length, &error);
-  const HzbJob *job;
+  HzbJob *job;
   const char *refusal;
   Accept *accept;
   cJSON *packed;
@@ -614,7 +672,7 @@
   if ((job = hzb_jobs_find (c->jobs, spec->uid)))
     {
       if (job->state != HZB_JOB_ACCEPTED)
-        reply_status (api, exchange, job, 200, FALSE);
+        tell (api, check_new (exchange, spec->uid, ASK_SUBMITTED), job);
       else
         add_check (api, exchange, spec->uid, ASK_SUBMITTED, NULL);
       return;
@@ -661,7 +719,7 @@
   if (!hzb_wire_uid_ok (uid))
     hzb_exchange_reply (exchange, 404, hzb_wire_error ("no such job"), 0);
   else if (job && job->state != HZB_JOB_ACCEPTED)
-    reply_status (api, exchange, job, 200, ask == ASK_STATUS);
+    tell (api, check_new (exchange, uid, ask), job);
   else
     add_check (api, exchange, uid, ask, NULL);
 }
@@ -704,4 +762,5 @@
   flush_accepts (api);
   flush_checks (api);
   flush_syncs (api);
+  tend_hearings (api);
 }
--- a/src/controller.c
+++ b/src/controller.c
@@ -603,6 +603,7 @@
     hold_tick (c, now);
   hzb_rentals_tick (c->rentals, now);
   hzb_peers_tick (c->peers, now);
+  hzb_cancellations_tick (c->cancellations, now);
   hzb_api_tick (c->api);
 }
 
@@ -674,6 +675,7 @@
   c->fleet = hzb_fleet_new (c->jobs, c->machines, settings);
   c->api = hzb_api_new (c);
   c->peers = hzb_peers_new (c);
+  c->cancellations = hzb_cancellations_new (c);
   c->leases = hzb_leases_new (c);
   c->lessee = hzb_lessee_new (c);
   c->metrics = hzb_metrics_new ();
@@ -688,6 +690,7 @@
 hzb_controller_free (HzbController *c)
 {
   hzb_api_free (c->api);
+  hzb_cancellations_free (c->cancellations);
   hzb_leases_free (c->leases);
   hzb_lessee_free (c->lessee);
   hzb_peers_free (c->peers);
--- a/src/controller.h
+++ b/src/controller.h
@@ -15,6 +15,10 @@
 
 #define HZB_TICK_MS 50
 
+/* Of records and messages. 1: the version before; it says none. 2: cancellations are acknowledged by the holder, and
+ * services can be accepted. Nothing that a version 1 would misread is written while one may be about. */
+#define HZB_FORMAT 2
+
 typedef enum
 {
   HZB_MIRROR_EMPTY,
@@ -33,6 +37,7 @@
 } HzbHoldState;
 
 typedef struct _HzbApi HzbApi;
+typedef struct _HzbCancellations HzbCancellations;
 typedef struct _HzbLeases HzbLeases;
 typedef struct _HzbLessee HzbLessee;
 typedef struct _HzbRecords HzbRecords;
@@ -54,6 +59,7 @@
   HzbFleet *fleet;
   HzbBlock *block;
   HzbApi *api;
+  HzbCancellations *cancellations;
   HzbLeases *leases;
   HzbLessee *lessee;
   HzbRecords *records;
@@ -122,6 +128,10 @@
 void hzb_peers_tick (HzbPeers *peers, struct timespec now);
 gboolean hzb_peers_any_heard (HzbPeers *peers);  /* lately; or there are none */
 gboolean hzb_peers_any_served (HzbPeers *peers); /* by the state service: an outage is ours alone */
+gboolean hzb_peers_silent (HzbPeers *peers, const char *node); /* not heard lately; or nobody of that name */
+guint hzb_peers_format (HzbPeers *peers, const char *node);    /* that it last said; 1: it said none, or is silent */
+gboolean hzb_peers_all_format (HzbPeers *peers, guint format); /* every other node has lately said so much */
+gboolean hzb_peers_served_at (HzbPeers *peers, const char *node, struct timespec *at); /* by the state service */
 void hzb_peers_display (HzbPeers *peers, const char *uid, guint *done, guint *running);
 cJSON *hzb_peers_message (HzbPeers *peers, HzbPeerKind kind); /* says who sends it, and which one it is */
 void hzb_controller_peer_request (HzbExchange *exchange, gpointer controller);
@@ -151,6 +161,8 @@
 void hzb_leases_durable (HzbLeases *leases, HzbTask *task); /* of a task that a lessee has finished */
 cJSON *hzb_leases_pack (HzbLeases *leases);
 void hzb_leases_cancelled (HzbLeases *leases, HzbJob *job);
+/* Every lessee that was granted a task of this cancelled job has acknowledged that it is. */
+gboolean hzb_leases_all_told (HzbLeases *leases, const HzbJob *job);
 
 /* lessee.c: the block that was leased to this node */
 HzbLessee *hzb_lessee_new (HzbController *c);
@@ -158,11 +170,25 @@
 void hzb_lessee_tick (HzbLessee *lessee, struct timespec now);
 void hzb_lessee_clear (HzbLessee *lessee); /* a leased holding begins or ends */
 gboolean hzb_lessee_valid (HzbLessee *lessee);
+void hzb_lessee_ask_soon (HzbLessee *lessee); /* something waits for the leader's answer */
 void hzb_lessee_finished (HzbLessee *lessee, const HzbTask *task, double ran_s);
 void hzb_lessee_give_machine (HzbLessee *lessee, HzbMachine *machine, const char *why);
 void hzb_controller_begin_leased (HzbController *c, guint64 token);
 void hzb_controller_end_leased (HzbController *c, const char *why);
 
+/* cancellations.c: when a cancelled job may be called so */
+HzbCancellations *hzb_cancellations_new (HzbController *c);
+void hzb_cancellations_free (HzbCancellations *cancellations);
+void hzb_cancellations_tick (HzbCancellations *cancellations, struct timespec now);
+/* No holder can act without the job's cancellation any more. */
+gboolean hzb_cancellations_effective (HzbCancellations *cancellations, HzbJob *job);
+gboolean hzb_cancellations_ask (HzbCancellations *cancellations, HzbJob *job); /* FALSE: nobody to ask just now */
+cJSON *hzb_cancellations_question (HzbCancellations *cancellations);           /* to the leader; NULL: none */
+cJSON *hzb_cancellations_answer (HzbCancellations *cancellations, const cJSON *question); /* by the leader */
+void hzb_cancellations_answered (HzbCancellations *cancellations, guint64 term, const cJSON *heard);
+/* The holder: all that were recorded up to this revision are effective. */
+guint64 hzb_cancellations_clear (HzbCancellations *cancellations);
+
 /* api.c */
 HzbApi *hzb_api_new (HzbController *c);
 void hzb_api_free (HzbApi *api);
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -75,6 +75,7 @@
   GSList *acceptances; /* while it is not over: all that name it */
   guint named;         /* records of acceptance that name it, over or not */
   guint load;          /* the last reading of all records that showed it */
+  gboolean effective;  /* cancelled, and no holder can act without that */
   gboolean moving;     /* its record is on the way to where old ones are */
   guint n_tasks;
   struct timespec accepted; /* time of day */
--- a/src/lease.c
+++ b/src/lease.c
@@ -392,6 +392,21 @@
     }
 }
 
+gboolean
+hzb_leases_all_told (HzbLeases *leases, const HzbJob *job)
+{
+  for (guint i = 0; i < leases->lessees->len; i++)
+    {
+      const Lessee *lessee = &g_array_index (leases->lessees, Lessee, i);
+      if (!hzb_outbox_holds (&lessee->out, "cancelled", job->uid))
+        continue;
+      for (guint k = 0; job->placed && k < job->n_tasks; k++)
+        if (job->tasks[k].state == HZB_TASK_GRANTED && job->tasks[k].lessee == lessee->id)
+          return FALSE;
+    }
+  return TRUE;
+}
+
 /* Some machine of the block may hold such a task. */
 static gboolean
 block_holds (HzbController *c, const Lessee *lessee, const HzbSpec *spec)
@@ -611,6 +626,9 @@
     take_back (leases, lessee, "it has let go");
   reply = cJSON_CreateObject ();
   hzb_json_add_u64 (reply, "term", hzb_election_term (c->election));
+  if (cJSON_HasObjectItem (root, "cancelled"))
+    cJSON_AddItemToObject (reply, "heard",
+                           hzb_cancellations_answer (c->cancellations, cJSON_GetObjectItemCaseSensitive (root, "cancelled")));
   if (token && (!lessee->token || hzb_token_leader (token) != hzb_election_term (c->election)))
     cJSON_AddTrueToObject (reply, "end"); /* what it holds was taken back */
   else
--- a/src/lessee.c
+++ b/src/lessee.c
@@ -51,6 +51,12 @@
     lessee->next_ask = soon;
 }
 
+void
+hzb_lessee_ask_soon (HzbLessee *lessee)
+{
+  ask_soon (lessee);
+}
+
 void
 hzb_lessee_finished (HzbLessee *lessee, const HzbTask *task, double ran_s)
 {
@@ -227,6 +233,8 @@
   const cJSON *batch;
 
   lessee->asking = FALSE;
+  if (root)
+    hzb_cancellations_answered (c->cancellations, term, cJSON_GetObjectItemCaseSensitive (root, "heard"));
   if (root && !hzb_election_leading (c->election) && term == hzb_election_leader_term (c->election))
     {
       if (cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (root, "end")))
@@ -310,7 +318,7 @@
 {
   HzbController *c = lessee->c;
   const char *leader = hzb_election_leader (c->election), *addr = NULL;
-  cJSON *root, *running;
+  cJSON *root, *running, *cancelled;
 
   for (guint i = 0; leader && i < c->settings->peers->len; i++)
     if (g_str_equal (((HzbPeer *) c->settings->peers->pdata[i])->node, leader))
@@ -320,6 +328,8 @@
   lessee->asking = TRUE;
   lessee->asked = now;
   root = hzb_peers_message (c->peers, HZB_PEER_BLOCK);
+  if ((cancelled = hzb_cancellations_question (c->cancellations)))
+    cJSON_AddItemToObject (root, "cancelled", cancelled);
   if (c->hold == HZB_HOLD_LEASED)
     {
       hzb_json_add_u64 (root, "token", lessee->token);
--- a/src/outbox.c
+++ b/src/outbox.c
@@ -62,6 +62,15 @@
   return last && !last->sent && cJSON_HasObjectItem (last->body, member) ? last->body : NULL;
 }
 
+gboolean
+hzb_outbox_holds (const HzbOutbox *outbox, const char *member, const char *text)
+{
+  for (GList *l = outbox->waiting.head; l; l = l->next)
+    if (g_strcmp0 (hzb_json_text (((Message *) l->data)->body, member), text) == 0)
+      return TRUE;
+  return FALSE;
+}
+
 HzbTask *
 hzb_tasks_find (HzbJobs *jobs, const char *uid, int index)
 {
--- a/src/outbox.h
+++ b/src/outbox.h
@@ -15,6 +15,9 @@
 /* The body of the last message, if it has a member of that name and has never been packed; else NULL. */
 cJSON *hzb_outbox_unsent (HzbOutbox *outbox, const char *member);
 
+/* A message with this text as that member has not been acknowledged. */
+gboolean hzb_outbox_holds (const HzbOutbox *outbox, const char *member, const char *text);
+
 typedef void (*HzbTaskFunc) (HzbTask *task, gpointer user);
 
 HzbTask *hzb_tasks_find (HzbJobs *jobs, const char *uid, int index); /* NULL: no such task is held here */
--- a/src/peers.c
+++ b/src/peers.c
@@ -18,6 +18,7 @@
   double store_silence;
   guint64 term;
   gboolean leads;
+  guint format; /* of records and messages, as it last said */
   /* by what it sent of its own accord */
   char *incarnation;
   guint64 born, number[HZB_PEER_N_KINDS];
@@ -90,6 +91,47 @@
   return peers->views->len == 0;
 }
 
+static View *
+view_of (HzbPeers *peers, const char *node)
+{
+  for (guint i = 0; node && i < peers->views->len; i++)
+    if (g_str_equal (g_array_index (peers->views, View, i).peer->node, node))
+      return &g_array_index (peers->views, View, i);
+  return NULL;
+}
+
+gboolean
+hzb_peers_silent (HzbPeers *peers, const char *node)
+{
+  const View *view = view_of (peers, node);
+  return !view || silence (peers, view) > 3;
+}
+
+guint
+hzb_peers_format (HzbPeers *peers, const char *node)
+{
+  return hzb_peers_silent (peers, node) ? 1 : view_of (peers, node)->format;
+}
+
+gboolean
+hzb_peers_all_format (HzbPeers *peers, guint format)
+{
+  for (guint i = 0; i < peers->views->len; i++)
+    if (hzb_peers_format (peers, g_array_index (peers->views, View, i).peer->node) < format)
+      return FALSE;
+  return TRUE;
+}
+
+gboolean
+hzb_peers_served_at (HzbPeers *peers, const char *node, struct timespec *at)
+{
+  const View *view = view_of (peers, node);
+  if (!view || !hzb_time_is_set (view->heard) || view->store_silence > 1e5)
+    return FALSE;
+  *at = hzb_time_plus (view->heard, -view->store_silence);
+  return TRUE;
+}
+
 void
 hzb_peers_display (HzbPeers *peers, const char *uid, guint *done, guint *running)
 {
@@ -115,11 +157,8 @@
 {
   const char *node = hzb_json_text (root, "node"), *incarnation = hzb_json_text (root, "incarnation");
   guint64 born = hzb_json_u64 (root, "born"), number = hzb_json_u64 (root, "number");
-  View *view = NULL;
+  View *view = view_of (peers, node);
 
-  for (guint i = 0; node && i < peers->views->len; i++)
-    if (g_str_equal (g_array_index (peers->views, View, i).peer->node, node))
-      view = &g_array_index (peers->views, View, i);
   if (!view || !incarnation || !*incarnation)
     {
       g_message ("a peer's message is refused: %s", view ? "it names no process" : "nobody of that name is known");
@@ -138,6 +177,7 @@
         g_hash_table_add (peers->retired, view->incarnation);
       view->incarnation = g_strdup (incarnation);
       view->born = MAX (born, view->born);
+      view->format = 1; /* until it says another */
       memset (view->number, 0, sizeof view->number);
     }
   if (number <= view->number[kind])
@@ -156,6 +196,7 @@
 {
   HzbController *c = peers->c;
 
+  cJSON_AddNumberToObject (root, "format", HZB_FORMAT);
   cJSON_AddBoolToObject (root, "leads", hzb_election_leading (c->election));
   /* Also what others told: a holder may reach only nodes that the state service does not reach either. */
   hzb_json_add_u64 (root, "term", MAX (hzb_election_leader_term (c->election), peers->heard_term));
@@ -181,6 +222,7 @@
   view->heard = hzb_clock_now (c->clock);
   view->store_silence = hzb_json_number (root, "storeSilenceS", 1e6);
   view->term = hzb_json_u64 (root, "term");
+  view->format = (guint) hzb_json_number (root, "format", 1);
   view->leads = cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (root, "leads"));
   if (view->leads)
     {
--- a/src/records.c
+++ b/src/records.c
@@ -587,6 +587,8 @@
   hzb_wire_txn_if (txn, HZB_KEY_FLUSH, r->version);
   value = cJSON_CreateObject ();
   hzb_json_add_u64 (value, "n", out->number);
+  hzb_json_add_u64 (value, "term", hzb_election_term (c->election));
+  hzb_json_add_u64 (value, "clear", hzb_cancellations_clear (c->cancellations));
   hzb_wire_txn_put (txn, HZB_KEY_FLUSH, value, 0);
   for (guint i = 0; i < due->len && room && (!i || bytes + ((Page *) due->pdata[i])->bytes <= TXN_BYTES); i++, room--)
     {
--- a/tests/world.c
+++ b/tests/world.c
@@ -4,6 +4,8 @@
 #include <string.h>
 
 #define FORGOTTEN_S 75.0
+#define LEFT_WAITING_S 90.0
+#define IN_FLIGHT_S 0.05 /* an answer with a start takes less */
 
 /* ---- events ---- */
 
@@ -108,7 +110,18 @@
   g_free (data);
 }
 
-typedef struct _Call Call;
+/* A call of a node to another host. */
+typedef struct
+{
+  guint node, life;
+  char *method, *addr, *path, *body;
+  HzbReplyFunc done;
+  gpointer user;
+  gboolean over;
+  guint refs;
+  guint status;
+  char *reply;
+} Call;
 static void answer (World *w, Call *call, guint status, char *body);
 
 typedef struct
@@ -159,6 +172,8 @@
       char *body;
       if (w->outage)
         return;
+      if (w->nodes[watcher->call->node].refused)
+        continue; /* it waits, as in an outage */
       body = watch_body (w, watcher->prefix, watcher->after, &any);
       if (any || w->now >= watcher->until)
         {
@@ -397,18 +412,6 @@
 
 /* ---- calls between hosts ---- */
 
-struct _Call
-{
-  guint node, life;
-  char *method, *addr, *path, *body;
-  HzbReplyFunc done;
-  gpointer user;
-  gboolean over;
-  guint refs;
-  guint status;
-  char *reply;
-};
-
 static void
 call_unref (Call *call)
 {
@@ -636,6 +639,19 @@
       copy->refs = 1;
       world_at (w, w->now + g_rand_double_range (w->rand, 0.2, 30), on_arrival, copy);
     }
+  if (g_str_equal (path, "/multi") && chance (w, w->late_writes))
+    {
+      Call *late = g_new0 (Call, 1);
+      late->node = call->node;
+      late->life = G_MAXUINT; /* nobody hears the answer */
+      late->method = g_strdup (method);
+      late->addr = g_strdup (addr);
+      late->path = g_strdup (path);
+      late->body = g_strdup (body);
+      late->refs = 1;
+      world_at (w, w->now + g_rand_double_range (w->rand, 2, 12), on_arrival, late);
+      return;
+    }
   call->refs++;
   /* Held back: it is carried out long after its sender has given up. */
   world_at (w, w->now + (chance (w, w->late) ? g_rand_double_range (w->rand, 1, 9) : delay (w)), on_arrival, call);
@@ -825,6 +841,8 @@
     }
   if (!job)
     return;
+  if (job->told_cancelled && w->now > job->cancelled_at + IN_FLIGHT_S)
+    broken (w, "started_cancelled", "%s on %s", piece, m->name);
   task = world_put_task (w, m, job, number, attempt);
   if (same)
     end_task (task, "in_use");
@@ -1198,7 +1216,9 @@
   UserCall *call = g_new0 (UserCall, 1);
   call->job = job;
   call->what = !job->accepted                                                        ? USER_SUBMITS
-               : job->wants_cancel && !job->told_cancelled && w->now > job->submit_at + 8 ? USER_CANCELS
+               : job->wants_cancel && !job->told_cancelled && w->now > job->submit_at + 8
+                         && !(job->polls_only && job->asked_cancel)
+                   ? USER_CANCELS
                : chance (w, 0.1)                                                     ? USER_SUBMITS
                                                                                      : USER_POLLS;
   world_at (w, w->now + delay (w), user_arrives, call);
@@ -1290,6 +1310,46 @@
     }
 }
 
+/* Once all troubles are over no job is left waiting while a machine that fits has room and its team is under its limit. */
+static void
+check_waiting (World *w, GHashTable *teams)
+{
+  for (guint i = 0; i < w->jobs->len; i++)
+    {
+      WorldJob *job = w->jobs->pdata[i];
+      const double *used = g_hash_table_lookup (teams, job->team);
+      guint placed = 0, finished = 0;
+      gboolean room = FALSE;
+      for (guint k = 0; k < job->n; k++)
+        finished += job->finished[k];
+      for (guint k = 0; k < w->machines->len; k++)
+        {
+          const WorldMachine *m = w->machines->pdata[k];
+          double free = m->cpus;
+          for (guint t = 0; t < m->tasks->len && !m->gone; t++)
+            {
+              const WorldTask *task = m->tasks->pdata[t];
+              placed += task->state < 4 && g_str_equal (task->uid, job->uid);
+              free -= task->state < 4 ? find_job (w, task->uid)->cpus : 0;
+            }
+          room = room
+                 || (m->up && !m->gone && !m->failed && !m->cut && !m->hung && !m->sick && !m->deaf && free >= job->cpus
+                     && (job->spot || !m->spot) && (!job->zone || g_str_equal (job->zone, m->zone))
+                     && (!job->type || g_str_equal (job->type, m->type)));
+        }
+      if (!job->accepted || job->told_cancelled || job->told_done || job->asked_cancel || job->bad || job->gang || !room
+          || placed + finished >= job->n || (used ? *used : 0) + job->cpus > w->size.team_max)
+        job->waits_since = 0;
+      else if (job->waits_since <= 0)
+        job->waits_since = w->now;
+      else if (w->now - job->waits_since > LEFT_WAITING_S)
+        {
+          broken (w, "left_waiting", "%s since %.0f", job->uid, job->waits_since);
+          job->waits_since = w->now;
+        }
+    }
+}
+
 void
 world_check (World *w)
 {
@@ -1323,6 +1383,11 @@
             broken (w, "quota", "%s uses %g", job->team, *used);
         }
     }
+  if (w->calm_at > 0 && w->now >= w->calm_at && w->now >= w->next_wait_check)
+    {
+      check_waiting (w, teams);
+      w->next_wait_check = w->now + 1;
+    }
   {
     GHashTableIter iter;
     gpointer used;
--- a/tests/world.h
+++ b/tests/world.h
@@ -59,7 +59,9 @@
   const char *zone, *type;
   gboolean spot, bad, gang;
   gboolean wants_cancel, submitted, accepted, told_done, told_cancelled, asked_cancel;
+  gboolean polls_only; /* its user has asked once to cancel it, and then asks how it stands */
   double submit_at, cancelled_at, answered_at, began_at;
+  double waits_since; /* calm, and something of it waits though a machine that fits has room; 0: not */
   guchar *finished; /* a task has ended well somewhere */
 } WorldJob;
 
@@ -100,11 +102,13 @@
   double lose, late; /* chances per message */
   double copies;     /* of reports, that a copy comes late, to any node */
   double peer_copies; /* of messages between nodes */
+  double late_writes; /* of transactions: no answer comes, and they are carried out 2 to 12 s later */
   gboolean boot_never;
   GPtrArray *broken; /* rules broken, as texts */
   guint started, ran;
   WorldSize size;
-  double next_check;
+  double next_check, next_wait_check;
+  double calm_at; /* all troubles are over; 0: nobody said */
   GHashTable *by_uid;           /* WorldJob */
   guint requests, rows_read;    /* of the state service */
   guint rentals, most_returned; /* calls */
