--- a/src/api.c
+++ b/src/api.c
@@ -609,7 +609,7 @@
 {
   int at = hzb_settings_team (c->settings, spec->team);
   const HzbTeam *team;
-  double times = spec->gang ? spec->tasks : 1;
+  double times = spec->gang || spec->service ? spec->tasks : 1; /* all of them at once */
   gboolean known_zone = spec->zone == NULL;
 
   if (at < 0)
@@ -688,6 +688,12 @@
       add_check (api, exchange, spec->uid, ASK_SUBMITTED, refusal);
       return;
     }
+  /* A version 1 would take a replica that ends for a task that is done. */
+  if (spec->service && hzb_election_format (c->election) < HZB_FORMAT)
+    {
+      hzb_exchange_reply (exchange, 503, hzb_wire_error ("services are taken once every controller runs this version"), 2);
+      return;
+    }
   if (api->accepts.length >= MOST_ACCEPTS)
     {
       hzb_exchange_reply (exchange, 429, hzb_wire_error ("more submissions than can be taken"), 2);
--- a/src/controller.c
+++ b/src/controller.c
@@ -54,8 +54,8 @@
   for (guint i = 0; i < items->len; i++)
     {
       HzbItem *item = &g_array_index (items, HzbItem, i);
-      if (g_str_equal (item->key, HZB_KEY_LEADER))
-        c->load_saw_leader = TRUE;
+      if (g_str_equal (item->key, HZB_KEY_LEADER) || g_str_equal (item->key, HZB_KEY_LEADER_2))
+        c->load_saw_leader = c->load_saw_leader || hzb_json_u64 (item->value, "lease");
       hzb_controller_take_item (c, item);
       g_free (c->load_after);
       c->load_after = g_strdup (item->key);
@@ -253,6 +253,7 @@
       hzb_store_range (c->store, HZB_KEY_HOLDER, c->hold_after, on_hold_loaded, hzb_held_new (c, NULL));
       return;
     }
+  hzb_records_loaded (c->records);
   c->hold_since = hzb_clock_now (c->clock);
   set_hold (c, HZB_HOLD_RECOVERING, "the records have been read");
 }
@@ -585,6 +586,8 @@
     begin_hold (c);
   else if (!hzb_election_leading (c->election) && c->hold > HZB_HOLD_LEASED)
     end_hold (c);
+  if (c->hold == HZB_HOLD_FULL && hzb_election_format (c->election) < HZB_FORMAT && hzb_peers_all_format (c->peers, HZB_FORMAT))
+    hzb_election_raise_format (c->election);
   if (hzb_election_leading (c->election))
     hzb_leases_tick (c->leases, now);
   else
--- a/src/controller.h
+++ b/src/controller.h
@@ -110,6 +110,7 @@
 HzbRecords *hzb_records_new (HzbController *c);
 void hzb_records_free (HzbRecords *records);
 void hzb_records_reset (HzbRecords *records);                    /* a holding begins or ends */
+void hzb_records_loaded (HzbRecords *records);                   /* all there is has been taken */
 void hzb_records_take (HzbRecords *records, const HzbItem *item); /* as the state service has it */
 void hzb_records_flush_soon (HzbRecords *records);
 void hzb_records_drop_job (HzbRecords *records, HzbJob *job);
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -99,7 +99,7 @@
   for (guint i = 0; i < m->tasks->len; i++)
     {
       const HzbTask *task = m->tasks->pdata[i];
-      guint class = task->job->class, v = MAX (1, hzb_type_speed (m->type, task->job->spec));
+      guint class = task->job->class, v = MAX (1, hzb_machine_speed (m, task->job->spec));
       double work = hzb_task_remaining_s (task, now) / v;
       for (guint c = 0; c < HZB_N_CLASSES; c++)
         booked[c] += c <= class ? work : work * PREEMPTIBLE_PART;
--- a/src/election.c
+++ b/src/election.c
@@ -16,9 +16,12 @@
   char *leader, *leader_incarnation; /* by the mirror */
   guint64 leader_lease, leader_term, leader_version;
   struct timespec next, asked, proven_until, renew_sent;
-  gboolean renewing, stands_back;
+  gboolean renewing, stands_back, raising;
+  guint format;
 };
 
+static const char nobody[] = "(none of version 1)"; /* leads by the first key, once the format is 2 */
+
 static const char *const names[] = { "following", "ending-old", "leasing", "campaigning", "leading" };
 
 static void
@@ -51,6 +54,7 @@
   e->clock = clock;
   e->settings = settings;
   e->rand = rand;
+  e->format = 1;
   e->incarnation = g_strdup_printf ("%s-%08x%08x", settings->node, g_rand_int (rand), g_rand_int (rand));
   return e;
 }
@@ -104,6 +108,12 @@
   return e->leader;
 }
 
+guint
+hzb_election_format (HzbElection *e)
+{
+  return e->format;
+}
+
 guint64
 hzb_election_leader_term (HzbElection *e)
 {
@@ -179,6 +189,52 @@
   set_state (e, HZB_ELECTION_LEADING, "elected");
 }
 
+static const char *
+leader_key (const HzbElection *e)
+{
+  return e->format >= 2 ? HZB_KEY_LEADER_2 : HZB_KEY_LEADER;
+}
+
+static cJSON *
+pack_leader (const HzbElection *e)
+{
+  cJSON *value = cJSON_CreateObject ();
+  cJSON_AddStringToObject (value, "node", e->settings->node);
+  cJSON_AddStringToObject (value, "incarnation", e->incarnation);
+  hzb_json_add_u64 (value, "lease", e->lease);
+  hzb_json_add_u64 (value, "term", e->term);
+  return value;
+}
+
+static void
+on_raised (HzbStoreResult result, const char *body, gpointer user)
+{
+  HzbElection *e = user;
+  e->raising = FALSE; /* the mirror shows whether it is so */
+}
+
+void
+hzb_election_raise_format (HzbElection *e)
+{
+  cJSON *txn, *value;
+
+  if (e->format >= 2 || e->raising || !hzb_election_proven (e))
+    return;
+  e->raising = TRUE;
+  txn = hzb_wire_txn ();
+  hzb_election_guard (e, txn);
+  hzb_wire_txn_if (txn, HZB_KEY_FORMAT, 0);
+  value = cJSON_CreateObject ();
+  cJSON_AddNumberToObject (value, "format", 2);
+  hzb_wire_txn_put (txn, HZB_KEY_FORMAT, value, 0);
+  value = cJSON_CreateObject ();
+  cJSON_AddStringToObject (value, "node", nobody);
+  hzb_json_add_u64 (value, "term", e->term);
+  hzb_wire_txn_put (txn, HZB_KEY_LEADER, value, 0);
+  hzb_wire_txn_put (txn, HZB_KEY_LEADER_2, pack_leader (e), e->lease);
+  hzb_store_txn (e->store, HZB_STORE_LEASE, txn, on_raised, e);
+}
+
 static void
 on_lease (HzbStoreResult result, const char *body, gpointer user)
 {
@@ -195,14 +251,9 @@
     }
   e->term = e->seen_term + 1;
   txn = hzb_wire_txn ();
-  hzb_wire_txn_if (txn, HZB_KEY_LEADER, 0);
+  hzb_wire_txn_if (txn, leader_key (e), 0);
   hzb_wire_txn_if (txn, HZB_KEY_TERM, e->seen_term_version);
-  value = cJSON_CreateObject ();
-  cJSON_AddStringToObject (value, "node", e->settings->node);
-  cJSON_AddStringToObject (value, "incarnation", e->incarnation);
-  hzb_json_add_u64 (value, "lease", e->lease);
-  hzb_json_add_u64 (value, "term", e->term);
-  hzb_wire_txn_put (txn, HZB_KEY_LEADER, value, e->lease);
+  hzb_wire_txn_put (txn, leader_key (e), pack_leader (e), e->lease);
   value = cJSON_CreateObject ();
   hzb_json_add_u64 (value, "term", e->term);
   cJSON_AddStringToObject (value, "node", e->settings->node);
@@ -239,7 +290,13 @@
       if (e->state == HZB_ELECTION_LEADING && e->seen_term > e->term)
         give_up (e, "a newer term exists");
     }
-  else if (g_str_equal (item->key, HZB_KEY_LEADER) && item->version > e->leader_version)
+  else if (g_str_equal (item->key, HZB_KEY_FORMAT) && item->value && e->format < 2)
+    {
+      e->format = (guint) hzb_json_number (item->value, "format", 1);
+      g_message ("election: every controller reads format %u; version 1 is not served any more", e->format);
+    }
+  else if ((g_str_equal (item->key, HZB_KEY_LEADER) || g_str_equal (item->key, HZB_KEY_LEADER_2))
+           && item->version > e->leader_version && g_strcmp0 (hzb_json_text (item->value, "node"), nobody) != 0)
     {
       e->leader_version = item->version;
       g_clear_pointer (&e->leader, g_free);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -1,5 +1,7 @@
 #include "fleet.h"
 
+#include "keep.h"
+
 #include <math.h>
 #include <string.h>
 
@@ -25,6 +27,7 @@
   const char *zone;    /* the only one; NULL: any */
   char *name;
   gboolean gpus;
+  gboolean services; /* room kept for replicas, on machines that the cloud doesn't take back */
   GArray *parts; /* Part */
   double memory_per_cpu;
 } Need;
@@ -152,6 +155,29 @@
   return MIN (n, job->placed);
 }
 
+/* Replicas never end: the room that they take is taken for good, and a little more is kept. */
+static void
+add_services (HzbFleet *f, GPtrArray *all)
+{
+  HzbKeep keep = hzb_keep_plan (f->jobs, f->machines);
+  g_autofree char *types = keep.spec ? types_holding (f, keep.spec) : NULL;
+
+  for (guint z = 0; z < keep.n_zones; z++)
+    {
+      Need *need = g_new0 (Need, 1);
+      Part part = { 0, keep.zones[z].placed + keep.zones[z].waiting + keep.zones[z].free, 0, keep.spec->cpus };
+      need->spec = keep.spec;
+      need->zone = keep.zones[z].zone;
+      need->name = g_strdup_printf ("%s@%s!ordinary!services", types, need->zone);
+      need->services = TRUE;
+      need->parts = g_array_new (FALSE, FALSE, sizeof (Part));
+      if (keep.spec->cpus > 0)
+        need->memory_per_cpu = keep.spec->memory_gb / keep.spec->cpus;
+      g_array_append_val (need->parts, part);
+      g_ptr_array_add (all, need);
+    }
+}
+
 static GPtrArray *
 needs (HzbFleet *f, struct timespec now)
 {
@@ -186,6 +212,11 @@
         at_once = MIN (at_once, floor (gpus_left[job->team] / spec->gpus + 1e-9));
       if (at_once < 1)
         continue;
+      if (spec->service && spec->gpus <= 0)
+        {
+          cpus_left[job->team] -= at_once * spec->cpus;
+          continue; /* with all services, see add_services() */
+        }
       cpus_left[job->team] -= at_once * spec->cpus;
       gpus_left[job->team] -= at_once * spec->gpus;
       /* By what holds a task, not by what it names: a large task is not served by small machines. */
@@ -216,6 +247,7 @@
       if (spec->cpus > 0)
         need->memory_per_cpu = MAX (need->memory_per_cpu, spec->memory_gb / spec->cpus);
     }
+  add_services (f, all);
   g_ptr_array_sort (all, by_choice);
   return all;
 }
@@ -251,7 +283,7 @@
 static gboolean
 kind_fits (const HzbMachineType *type, const char *zone, gboolean spot, const Need *need)
 {
-  return hzb_type_holds (type, need->spec) && (need->spec->spot || !spot) && (!need->zone || g_str_equal (need->zone, zone));
+  return hzb_type_holds (type, need->spec) && ((need->spec->spot && !need->services) || !spot) && (!need->zone || g_str_equal (need->zone, zone));
 }
 
 static double
@@ -294,11 +326,12 @@
   for (guint k = 0; k < f->machines->all->len; k++)
     {
       const HzbMachine *m = f->machines->all->pdata[k];
-      if (!m->type || m->wanted_back || m->spare || !kind_fits (m->type, m->zone, m->spot, need))
+      if (!m->type || m->wanted_back || m->spare || !kind_fits (m->type, m->zone, m->spot, need)
+          || (m->kept && !need->services))
         continue;
       if (m->state == HZB_MACHINE_ACTIVE || m->state == HZB_MACHINE_UNHEARD || m->state == HZB_MACHINE_LENT
           || (m->state == HZB_MACHINE_BOOTING && hzb_time_between (m->rented, now) < MAX (30, 2.5 * m->type->boot_s)))
-        have += useful_units (m->type, need);
+        have += useful_units (m->type, need) - (need->services || need->gpus ? 0 : m->service_cpus);
     }
   return have;
 }
@@ -421,7 +454,8 @@
     {
       HzbMachine *m = f->machines->all->pdata[i];
       Candidate c = { m, 0 };
-      if ((m->state != HZB_MACHINE_ACTIVE && m->state != HZB_MACHINE_LENT) || m->spare || m->wanted_back || !m->type)
+      if ((m->state != HZB_MACHINE_ACTIVE && m->state != HZB_MACHINE_LENT) || m->spare || m->wanted_back || !m->type
+          || m->kept || m->service_cpus > 0)
         continue;
       c.price = (m->spot ? m->type->spot_price : m->type->price) / MAX (m->type->cpus, 1e-3);
       g_array_append_val (candidates, c);
@@ -459,13 +493,15 @@
 hzb_fleet_returns (HzbFleet *f, struct timespec now)
 {
   GPtrArray *out = g_ptr_array_new ();
+  HzbKeep keep = hzb_keep_plan (f->jobs, f->machines);
 
+  hzb_keep_mark (&keep, f->jobs, f->machines);
   mark_spare (f, now);
   for (guint i = 0; i < f->machines->all->len; i++)
     {
       HzbMachine *m = f->machines->all->pdata[i];
       double age = hzb_time_between (m->rented, now), idle = hzb_time_between (m->idle_since, now);
-      if (m->wanted_back)
+      if (m->wanted_back || m->kept)
         continue;
       if (m->spare && hzb_machine_listed (m))
         hzb_machine_empty_lists (f->jobs, m);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -1,6 +1,7 @@
 /* The workers' side: reports in, orders out. */
 #include "controller.h"
 
+#include <math.h>
 #include <string.h>
 
 #define SICK_AFTER 3u
@@ -21,7 +22,7 @@
 
   if (why == HZB_WHY_ERROR)
     {
-      gboolean same = g_strcmp0 (m->last_failed_job, job->uid) == 0;
+      gboolean same = g_strcmp0 (m->last_failed_job, job->uid) == 0, service = job->spec->service;
       task->tries = (guint8) MIN (task->tries + 1, 10);
       m->failures++;
       if (!same)
@@ -37,12 +38,14 @@
             g_message ("machine %s fails what it starts and is set aside", m->name);
           m->wanted_back = TRUE;
         }
-      else if (job->running + job->done + job->finished == 0)
+      /* One machine that fails all replicas of a service says no more of the service than one that fails one. */
+      else if (job->running + job->done + job->finished == 0 && !(service && same))
         {
           job->failures++;
           job->not_before = hzb_time_plus (now, MIN (60, 1 << MIN (job->failures, 6)));
         }
-      task->not_before = hzb_time_plus (now, MIN (60, 1 << MIN (task->tries, 6)) * 0.5);
+      /* A replica is sound until its service fails everywhere: it is tried elsewhere at once. */
+      task->not_before = hzb_time_plus (now, service ? 0.2 : MIN (60, 1 << MIN (task->tries, 6)) * 0.5);
     }
   else if (why == HZB_WHY_NO_ROOM || why == HZB_WHY_UNKNOWN || why == HZB_WHY_BUSY)
     {
@@ -66,7 +69,8 @@
   HzbJob *job = task->job;
   gboolean here = hzb_task_on_machine (task) && task->machine == m && task->attempt == piece->attempt;
 
-  if (piece->why == HZB_WHY_DONE)
+  /* A replica that ends, for whatever cause, has no result: it runs again. */
+  if (piece->why == HZB_WHY_DONE && !job->spec->service)
     {
       if (task->state == HZB_TASK_DONE)
         order (orders, HZB_ORDER_FORGET, job->uid, task->index, piece->attempt, 0);
@@ -192,7 +196,7 @@
       HzbTask *task = m->tasks->pdata[i];
       const HzbSpec *spec = task->job->spec;
       gboolean runs = task->state == HZB_TASK_RUNNING;
-      double left = hzb_job_mean_s (task->job) - (runs ? hzb_time_between (task->since, now) : 0);
+      double left = spec->service ? INFINITY : hzb_job_mean_s (task->job) - (runs ? hzb_time_between (task->since, now) : 0);
       if (task->stopping || (!runs && task->state != HZB_TASK_FETCHING) || task->job->state != HZB_JOB_ACCEPTED)
         continue;
       if (spec->gang)
@@ -394,6 +398,11 @@
   m->session = report->session;
   m->seq = report->seq;
   m->heard = m->answered = now;
+  if (!m->addr || !*m->addr)
+    {
+      g_free (m->addr);
+      m->addr = g_strdup (report->addr);
+    }
   if (!m->recorded)
     hzb_records_flush_soon (c->records);
   if (m->deaf && report->token == m->token)
--- a/src/give-way.c
+++ b/src/give-way.c
@@ -8,6 +8,8 @@
 hzb_task_remaining_s (const HzbTask *task, struct timespec now)
 {
   double mean = hzb_job_mean_s (task->job);
+  if (task->job->spec->service)
+    return 0; /* it takes room, for good, and leaves no work to wait for */
   if (task->state == HZB_TASK_RUNNING)
     return MAX (mean - hzb_time_between (task->since, now), 0.15 * mean);
   return mean;
@@ -21,8 +23,9 @@
 
   if (!job->spec->same_zone && !job->spec->spread)
     return TRUE;
-  if (job->unknown)
+  if (job->unknown && job->spec->same_zone)
     return FALSE;
+  here = job->unknown; /* any of these may be in this zone */
   for (guint i = 0; i < job->n_tasks; i++)
     {
       const HzbTask *task = &job->tasks[i];
@@ -56,6 +59,8 @@
 preempt_after_s (HzbDispatch *d, const HzbJob *job)
 {
   double after = 10;
+  if (job->spec->service)
+    return 0; /* every second that a replica is not there counts */
   for (guint i = 0; i < d->settings->objectives->len; i++)
     {
       const HzbObjective *o = d->settings->objectives->pdata[i];
@@ -71,7 +76,7 @@
 stop_cost (const HzbTask *task, struct timespec now)
 {
   const HzbSpec *spec = task->job->spec;
-  if (task->stopping || spec->gang || (task->state != HZB_TASK_RUNNING && task->state != HZB_TASK_FETCHING))
+  if (task->stopping || spec->gang || spec->service || (task->state != HZB_TASK_RUNNING && task->state != HZB_TASK_FETCHING))
     return INFINITY;
   if (task->state == HZB_TASK_FETCHING)
     return 0;
@@ -215,6 +220,8 @@
   for (guint i = 0; i < m->tasks->len; i++)
     {
       const HzbTask *task = m->tasks->pdata[i];
+      if (task->job->spec->service)
+        return -1; /* a move costs it more than the machine does */
       if (hzb_task_remaining_s (task, now) < MOVE_LEFT_S || task->stopping)
         continue;
       if (task->job->spec->checkpoint_s <= 0 || task->job->spec->gang || task->state != HZB_TASK_RUNNING
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -18,7 +18,7 @@
   job->elsewhere = job->lent_running = job->lent_leaving = 0;
   job->cursor = job->pending = job->listed = job->unknown = job->placed = job->running = 0;
   job->finished = job->done = job->released = job->releasing = 0;
-  job->dirty = job->ending = job->on_pages = job->wants_release = job->told_lessees = FALSE;
+  job->dirty = job->ending = job->on_pages = job->unsplit = job->wants_release = job->told_lessees = FALSE;
   job->failures = 0;
 }
 
@@ -50,6 +50,7 @@
   jobs->acceptances = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, acceptance_free);
   jobs->active = g_ptr_array_new ();
   jobs->keep_ended = KEEP_ENDED;
+  jobs->chunk = settings->store_value_kb >= 2 ? 8192 : 4096;
   jobs->leanings = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   jobs->clock = clock;
   jobs->settings = settings;
@@ -382,7 +383,7 @@
   else
     {
       job->pending = job->n_tasks;
-      job->wants_release = job->spec->gang; /* which needs all of them at once */
+      job->wants_release = job->spec->gang || job->spec->service; /* which need all of them at once */
     }
   /* Tokens are never used twice, so neither are attempts. */
   job->next_attempt = jobs->block->token << 17;
@@ -404,16 +405,16 @@
 }
 
 guint
-hzb_job_chunks (const HzbJob *job)
+hzb_job_chunks (const HzbJobs *jobs, const HzbJob *job)
 {
-  return (job->n_tasks + HZB_CHUNK - 1) / HZB_CHUNK;
+  return (job->n_tasks + jobs->chunk - 1) / jobs->chunk;
 }
 
 cJSON *
-hzb_job_pack_progress (const HzbJob *job, guint chunk)
+hzb_job_pack_progress (const HzbJobs *jobs, const HzbJob *job, guint chunk)
 {
   cJSON *value = cJSON_CreateObject ();
-  guint first = chunk * HZB_CHUNK, n = MIN (HZB_CHUNK, job->n_tasks - first), done = 0;
+  guint first = chunk * jobs->chunk, n = MIN (jobs->chunk, job->n_tasks - first), done = 0;
   g_autofree guchar *bits = g_new0 (guchar, (n + 7) / 8);
   guint top = 0;
 
@@ -425,6 +426,8 @@
         done++;
       }
   cJSON_AddNumberToObject (value, "released", job->releasing);
+  if (job->n_tasks > jobs->chunk)
+    cJSON_AddNumberToObject (value, "of", jobs->chunk);
   if (job->state == HZB_JOB_CANCELLED || chunk == 0)
     {
       /* Kept beside the bits: a cancelled job's own record no longer says what its tasks took. */
@@ -440,16 +443,21 @@
   return value;
 }
 
-void
-hzb_job_read_progress (HzbJobs *jobs, HzbJob *job, guint chunk, const cJSON *value)
+gboolean
+hzb_job_read_progress (HzbJobs *jobs, HzbJob *job, guint chunk, const cJSON *value, gboolean *ours)
 {
-  guint first = chunk * HZB_CHUNK;
+  double of = hzb_json_number (value, "of", HZB_CHUNK_OF_1);
+  guint size = (guint) CLAMP (of, 1, HZB_MAX_TASKS), first;
   const char *text = hzb_json_text (value, "done");
   gsize length = 0;
   g_autofree guchar *bits = text && *text ? g_base64_decode (text, &length) : NULL;
   guint released = MIN ((guint) hzb_json_number (value, "released", 0), job->n_tasks);
 
-  for (guint i = first; i < MIN (first + HZB_CHUNK, job->n_tasks); i++)
+  if (chunk > job->n_tasks / size)
+    return FALSE;
+  first = chunk * size;
+  *ours = job->n_tasks <= MIN (size, jobs->chunk) || size == jobs->chunk;
+  for (guint i = first; i < MIN (first + size, job->n_tasks); i++)
     {
       guint k = i - first;
       HzbTask *task = &job->tasks[i];
@@ -462,6 +470,7 @@
     if (job->tasks[i].state == HZB_TASK_PENDING)
       hzb_task_set_state (jobs, &job->tasks[i], HZB_TASK_UNKNOWN, NULL);
   job->cursor = MAX (job->cursor, job->released);
+  return TRUE;
 }
 
 gboolean
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -11,7 +11,8 @@
 /* Of jobs that ended long ago: not mirrored, since a month of them would not fit a node's memory. */
 #define HZB_KEY_ENDED "hzb/o/ended/main/"
 #define HZB_KEY_PROGRESS "hzb/x/progress/main/"
-#define HZB_CHUNK 32768u
+/* Progress is kept in parts of so many tasks: a part has to fit a value. A part of another size says so. */
+#define HZB_CHUNK_OF_1 32768u /* of version 1, which says none */
 
 typedef struct _HzbMachine HzbMachine;
 typedef struct _HzbJob HzbJob;
@@ -93,6 +94,7 @@
   guint released, releasing; /* tasks below may have been started: durable, and asked for */
   gboolean dirty, ending;    /* progress to be written; end being written */
   gboolean on_pages;         /* of the holder's records */
+  gboolean unsplit;          /* in parts that only a version 1 writes; they can't be changed while one is about */
   gboolean wants_release;    /* a machine could take more of it than is released */
   gboolean guaranteed, told_lessees;
   gboolean begin_due; /* nothing of it has started for long: its first task goes before others */
@@ -115,6 +117,7 @@
   const HzbSettings *settings;
   HzbBlock *block; /* NULL: not a holder */
   GHashTable *leanings; /* class name -> double*, see hzb_jobs_observe() */
+  guint chunk;     /* tasks of a part */
   gboolean lessee; /* of the jobs only what was granted is in the block */
 } HzbJobs;
 
@@ -142,9 +145,10 @@
 void hzb_jobs_let_go (HzbJobs *jobs);
 void hzb_jobs_activate (HzbJobs *jobs, HzbJob *job);
 void hzb_jobs_retire (HzbJobs *jobs, HzbJob *job); /* nothing of it is anywhere any more */
-void hzb_job_read_progress (HzbJobs *jobs, HzbJob *job, guint chunk, const cJSON *value);
-cJSON *hzb_job_pack_progress (const HzbJob *job, guint chunk);
-guint hzb_job_chunks (const HzbJob *job);
+/* FALSE: the value makes no sense for the job. *ours: the part is one of those that would be written now. */
+gboolean hzb_job_read_progress (HzbJobs *jobs, HzbJob *job, guint chunk, const cJSON *value, gboolean *ours);
+cJSON *hzb_job_pack_progress (const HzbJobs *jobs, const HzbJob *job, guint chunk);
+guint hzb_job_chunks (const HzbJobs *jobs, const HzbJob *job);
 /* Every machine that might hold them has answered or is gone: unknown tasks of a leader before us (0), or of the block
  * of a lessee that was taken back (1 and up), wait again. */
 void hzb_jobs_resolve_unknown (HzbJobs *jobs, guint lessee);
--- /dev/null
+++ b/src/keep.c
@@ -0,0 +1,165 @@
+#include "keep.h"
+
+#include <math.h>
+
+/* A machine that may be kept for such replicas: one that the cloud doesn't take back. */
+static gboolean
+suits (const HzbMachine *m, const HzbSpec *spec, const char *zone)
+{
+  return m->type && !m->spot && !m->wanted_back && !m->deaf && hzb_type_holds (m->type, spec)
+         && (m->state == HZB_MACHINE_ACTIVE || m->state == HZB_MACHINE_LENT) && (!zone || g_str_equal (zone, m->zone));
+}
+
+static double
+free_for_replicas (const HzbMachine *m)
+{
+  return m->type->cpus - m->service_cpus - m->listed_service_cpus;
+}
+
+/* Zones with replicas or kept machines go first, or room would be kept in ever other zones; then those with most to
+ * choose from. */
+static double
+zone_rank (const HzbMachines *machines, const HzbSpec *spec, const char *zone)
+{
+  double rank = 0;
+  for (guint i = 0; i < machines->all->len; i++)
+    {
+      const HzbMachine *m = machines->all->pdata[i];
+      if (!m->type || m->spot || !g_str_equal (m->zone, zone) || !hzb_type_holds (m->type, spec)
+          || m->state == HZB_MACHINE_RETURNING || m->state == HZB_MACHINE_SILENT)
+        continue;
+      rank += m->type->cpus + 100 * m->service_cpus + (m->kept ? 20 * m->type->cpus : 0);
+    }
+  return rank;
+}
+
+static void
+choose_zones (HzbKeep *keep, const HzbMachines *machines)
+{
+  double ranks[HZB_KEEP_ZONES] = { 0 };
+
+  for (guint t = 0; t < machines->types->len; t++)
+    {
+      const HzbMachineType *type = machines->types->pdata[t];
+      for (guint z = 0; hzb_type_holds (type, keep->spec) && type->zones[z]; z++)
+        {
+          const char *zone = type->zones[z];
+          double rank = zone_rank (machines, keep->spec, zone);
+          gboolean known = FALSE;
+          guint at;
+          for (guint k = 0; k < keep->n_zones; k++)
+            known = known || g_str_equal (keep->zones[k].zone, zone);
+          if (known)
+            continue;
+          if (keep->n_zones < HZB_KEEP_ZONES)
+            at = keep->n_zones++;
+          else
+            {
+              at = 0;
+              for (guint k = 1; k < HZB_KEEP_ZONES; k++)
+                if (ranks[k] < ranks[at])
+                  at = k;
+              if (ranks[at] >= rank)
+                continue;
+            }
+          keep->zones[at].zone = zone;
+          ranks[at] = rank;
+        }
+    }
+}
+
+HzbKeep
+hzb_keep_plan (const HzbJobs *jobs, const HzbMachines *machines)
+{
+  HzbKeep keep = { 0 };
+  double waiting = 0, largest = 0;
+
+  for (guint i = 0; i < jobs->active->len; i++)
+    {
+      const HzbJob *job = jobs->active->pdata[i];
+      const HzbSpec *spec = job->spec;
+      if (!spec || !spec->service || job->state != HZB_JOB_ACCEPTED || spec->gpus > 0)
+        continue;
+      waiting += (job->pending + job->listed + job->unknown) * spec->cpus;
+      largest = MAX (largest, (job->n_tasks + 1) * spec->cpus);
+      if (!keep.spec || spec->cpus > keep.spec->cpus)
+        keep.spec = spec;
+    }
+  if (!keep.spec || !machines->types)
+    return (HzbKeep){ 0 };
+  choose_zones (&keep, machines);
+  for (guint z = 0; z < keep.n_zones; z++)
+    {
+      keep.zones[z].waiting = waiting / keep.n_zones;
+      keep.zones[z].free = largest;
+      for (guint i = 0; i < machines->all->len; i++)
+        {
+          const HzbMachine *m = machines->all->pdata[i];
+          if (m->service_cpus > 0 && g_str_equal (m->zone, keep.zones[z].zone))
+            keep.zones[z].placed += m->service_cpus;
+        }
+    }
+  return keep;
+}
+
+/* The one that can serve soonest: ours, with replicas already, and with the least other work to wait for. */
+static HzbMachine *
+next_to_keep (const HzbKeep *keep, HzbMachines *machines, const char *zone)
+{
+  HzbMachine *best = NULL;
+  double least = INFINITY;
+  for (guint i = 0; i < machines->all->len; i++)
+    {
+      HzbMachine *m = machines->all->pdata[i];
+      double cost = (m->state == HZB_MACHINE_LENT ? 1000 : 0) + m->cpus - 100 * m->service_cpus;
+      if (m->kept || !suits (m, keep->spec, zone) || free_for_replicas (m) < keep->spec->cpus || cost >= least)
+        continue;
+      least = cost;
+      best = m;
+    }
+  return best;
+}
+
+void
+hzb_keep_mark (const HzbKeep *keep, HzbJobs *jobs, HzbMachines *machines)
+{
+  for (guint i = 0; i < machines->all->len; i++)
+    {
+      HzbMachine *m = machines->all->pdata[i];
+      gboolean zone = FALSE;
+      for (guint z = 0; z < keep->n_zones; z++)
+        zone = zone || g_str_equal (m->zone, keep->zones[z].zone);
+      if (m->kept && (!keep->spec || !suits (m, keep->spec, NULL) || (!zone && m->service_cpus <= 0)))
+        m->kept = FALSE;
+    }
+  for (guint z = 0; z < keep->n_zones; z++)
+    {
+      double free = 0, want = keep->zones[z].free + keep->zones[z].waiting;
+      HzbMachine *m;
+      for (guint i = 0; i < machines->all->len; i++)
+        {
+          m = machines->all->pdata[i];
+          if (m->kept && g_str_equal (m->zone, keep->zones[z].zone))
+            free += free_for_replicas (m);
+        }
+      while (free < want && (m = next_to_keep (keep, machines, keep->zones[z].zone)))
+        {
+          m->kept = TRUE;
+          m->spare = FALSE;
+          if (m->state == HZB_MACHINE_ACTIVE)
+            hzb_machine_empty_lists (jobs, m);
+          free += free_for_replicas (m);
+        }
+      /* More than is needed goes back to other work, with some slack so that none goes back and forth. */
+      for (guint i = 0; i < machines->all->len; i++)
+        {
+          m = machines->all->pdata[i];
+          if (m->kept && g_str_equal (m->zone, keep->zones[z].zone) && m->service_cpus + m->listed_service_cpus <= 0
+              && free - m->type->cpus >= 1.5 * want)
+            {
+              m->kept = FALSE;
+              free -= m->type->cpus;
+            }
+        }
+    }
+}
--- a/src/lease.c
+++ b/src/lease.c
@@ -244,7 +244,7 @@
 static gboolean
 may_lend (HzbController *c, const HzbMachine *machine)
 {
-  return c->lease_blocks && machine->type && !machine->wanted_back && !machine->spare && !machine->deaf && machine->vouched
+  return c->lease_blocks && machine->type && !machine->wanted_back && !machine->spare && !machine->kept && !machine->deaf && machine->vouched
          && c->hold >= HZB_HOLD_RECOVERING && !gang_waits (c);
 }
 
@@ -312,7 +312,7 @@
     {
       const HzbTask *task = machine->tasks->pdata[i];
       if (task->stopping || task->state == HZB_TASK_BOOKED || task->state == HZB_TASK_SAVING || task->job->spec->gang
-          || task->job->spec->same_zone || task->job->spec->spread || task->job->state != HZB_JOB_ACCEPTED)
+          || task->job->spec->service || task->job->spec->same_zone || task->job->spec->spread || task->job->state != HZB_JOB_ACCEPTED)
         return NULL;
     }
   best = needy_lessee (leases, machine, UNLEVEL, now);
@@ -450,7 +450,7 @@
     {
       HzbJob *job = c->jobs->active->pdata[i];
       if (job->state == HZB_JOB_ACCEPTED && (job->pending || job->listed) && !job->failures && !job->spec->gang
-          && !job->spec->same_zone && !job->spec->spread && !hzb_time_before (now, job->not_before))
+          && !job->spec->service && !job->spec->same_zone && !job->spec->spread && !hzb_time_before (now, job->not_before))
         g_ptr_array_add (order, job);
     }
   g_ptr_array_sort (order, hzb_dispatch_order);
@@ -577,7 +577,7 @@
   for (guint i = 0; i < c->machines->all->len; i++)
     {
       HzbMachine *m = c->machines->all->pdata[i];
-      gboolean back = all || m->spare || m->wanted_back;
+      gboolean back = all || m->spare || m->wanted_back || m->kept;
       cJSON *body;
       if (m->state != HZB_MACHINE_LENT || m->lessee != lessee->id || m->asked_back == back || !m->lend_sent)
         continue;
--- a/src/machines.c
+++ b/src/machines.c
@@ -188,7 +188,7 @@
 hzb_machine_pack (const HzbMachine *m, struct timespec wall)
 {
   cJSON *value = cJSON_CreateObject ();
-  cJSON_AddStringToObject (value, "addr", m->addr ? m->addr : "");
+  /* Its address it tells with every report. */
   cJSON_AddStringToObject (value, "type", m->type_name);
   cJSON_AddStringToObject (value, "zone", m->zone);
   cJSON_AddBoolToObject (value, "spot", m->spot);
@@ -201,15 +201,29 @@
 void
 hzb_machine_list (HzbMachine *machine, HzbTask *task)
 {
+  const HzbSpec *spec = task->job->spec;
+  if (spec->service)
+    {
+      machine->listed_service_cpus += spec->cpus;
+      machine->listed_service_memory += spec->memory_gb;
+    }
   g_queue_push_tail (&machine->lists[task->job->class], task);
 }
 
 void
 hzb_machine_unlist (HzbMachine *machine, HzbTask *task)
 {
+  const HzbSpec *spec = task->job->spec;
   for (guint i = 0; i < HZB_N_CLASSES; i++)
     if (g_queue_remove (&machine->lists[i], task))
-      return;
+      {
+        if (spec->service)
+          {
+            machine->listed_service_cpus -= spec->cpus;
+            machine->listed_service_memory -= spec->memory_gb;
+          }
+        return;
+      }
 }
 
 void
@@ -219,6 +233,11 @@
   machine->cpus += spec->cpus;
   machine->gpus += spec->gpus;
   machine->memory += spec->memory_gb;
+  if (spec->service)
+    {
+      machine->service_cpus += spec->cpus;
+      machine->service_memory += spec->memory_gb;
+    }
   g_ptr_array_add (machine->tasks, task);
 }
 
@@ -231,6 +250,11 @@
   machine->cpus -= spec->cpus;
   machine->gpus -= spec->gpus;
   machine->memory -= spec->memory_gb;
+  if (spec->service)
+    {
+      machine->service_cpus -= spec->cpus;
+      machine->service_memory -= spec->memory_gb;
+    }
 }
 
 gboolean
@@ -261,10 +285,28 @@
   return (guint) v;
 }
 
+guint
+hzb_machine_speed (const HzbMachine *m, const HzbSpec *spec)
+{
+  double v = hzb_type_speed (m->type, spec);
+  if (m->service_cpus > 1e-6 && spec->cpus > 0)
+    v = MIN (v, floor ((m->type->cpus - m->service_cpus) / spec->cpus + 1e-9));
+  if (m->service_memory > 1e-6 && spec->memory_gb > 0)
+    v = MIN (v, floor ((m->type->memory_gb - m->service_memory) / spec->memory_gb + 1e-9));
+  return (guint) MAX (v, 0);
+}
+
+gboolean
+hzb_machine_takes_replica (const HzbMachine *m, const HzbSpec *spec)
+{
+  return m->service_cpus + m->listed_service_cpus + spec->cpus <= m->type->cpus + 1e-6
+         && m->service_memory + m->listed_service_memory + spec->memory_gb <= m->type->memory_gb + 1e-6;
+}
+
 gboolean
 hzb_machine_allowed (const HzbMachine *m, const HzbSpec *spec)
 {
-  return m->type && hzb_type_holds (m->type, spec) && (spec->spot || !m->spot)
+  return m->type && hzb_type_holds (m->type, spec) && (spec->spot || !m->spot) && (spec->service || !m->kept)
          && (!spec->zone || g_str_equal (spec->zone, m->zone));
 }
 
@@ -293,7 +335,7 @@
       hzb_task_set_state (jobs, m->tasks->pdata[before - 1], HZB_TASK_PENDING, NULL);
       g_return_if_fail (m->tasks->len < before);
     }
-  m->cpus = m->gpus = m->memory = 0;
+  m->cpus = m->gpus = m->memory = m->service_cpus = m->service_memory = 0;
   hzb_machine_empty_lists (jobs, m);
 }
 
--- a/src/machines.h
+++ b/src/machines.h
@@ -53,6 +53,9 @@
   gboolean wanted_back, drain; /* drain: by an operator */
   gboolean spare; /* takes no new tasks: there are more machines than work */
   guint surplus;  /* for how many plans in a row it has been one too many */
+  gboolean kept;  /* for replicas of services: they find room there at once */
+  double service_cpus, service_memory;               /* in use by replicas, which never end by themselves */
+  double listed_service_cpus, listed_service_memory; /* and by those in its lists */
   double cpus, gpus, memory; /* in use by tasks that are on it, or may be */
   GPtrArray *tasks;          /* HzbTask on it */
   GQueue lists[HZB_N_CLASSES];
@@ -103,6 +106,10 @@
 gboolean hzb_machine_usable (const HzbMachine *machine);
 gboolean hzb_type_holds (const HzbMachineType *type, const HzbSpec *spec);
 guint hzb_type_speed (const HzbMachineType *type, const HzbSpec *spec); /* v: how many such tasks it holds */
+/* The same of a machine, without the room that replicas of services take for good. */
+guint hzb_machine_speed (const HzbMachine *machine, const HzbSpec *spec);
+/* A replica of such a service fits beside those that are there or listed, whatever else would have to go. */
+gboolean hzb_machine_takes_replica (const HzbMachine *machine, const HzbSpec *spec);
 gboolean hzb_machine_allowed (const HzbMachine *machine, const HzbSpec *spec);
 gboolean hzb_machine_has_room (const HzbMachine *machine, const HzbSpec *spec);
 guint hzb_machine_listed (const HzbMachine *machine);
--- a/src/peers.c
+++ b/src/peers.c
@@ -18,6 +18,7 @@
   double store_silence;
   guint64 term;
   gboolean leads;
+  gboolean told_old;
   guint format; /* of records and messages, as it last said */
   /* by what it sent of its own accord */
   char *incarnation;
@@ -148,6 +149,7 @@
   cJSON_AddStringToObject (root, "incarnation", peers->c->incarnation);
   hzb_json_add_u64 (root, "born", peers->born);
   hzb_json_add_u64 (root, "number", ++peers->number);
+  cJSON_AddNumberToObject (root, "format", HZB_FORMAT);
   return root;
 }
 
@@ -164,6 +166,14 @@
       g_message ("a peer's message is refused: %s", view ? "it names no process" : "nobody of that name is known");
       return NULL;
     }
+  /* Guards against a return to version 1: it would misread what has been recorded since all read format 2. */
+  if (hzb_election_format (peers->c->election) >= 2 && hzb_json_number (root, "format", 1) < 2)
+    {
+      if (!view->told_old)
+        g_warning ("a message of %s is refused: it is of version 1, which is not served any more", node);
+      view->told_old = TRUE;
+      return NULL;
+    }
   if (g_strcmp0 (view->incarnation, incarnation) != 0)
     {
       if (g_hash_table_contains (peers->retired, incarnation) || born + BORN_SLACK_MS < view->born)
@@ -196,7 +206,6 @@
 {
   HzbController *c = peers->c;
 
-  cJSON_AddNumberToObject (root, "format", HZB_FORMAT);
   cJSON_AddBoolToObject (root, "leads", hzb_election_leading (c->election));
   /* Also what others told: a holder may reach only nodes that the state service does not reach either. */
   hzb_json_add_u64 (root, "term", MAX (hzb_election_leader_term (c->election), peers->heard_term));
@@ -301,6 +310,7 @@
   else
     {
       cJSON *word = cJSON_CreateObject ();
+      cJSON_AddNumberToObject (word, "format", HZB_FORMAT);
       take_standing (c->peers, view, root);
       say_standing (c->peers, word);
       hzb_exchange_reply (exchange, 200, cJSON_PrintUnformatted (word), 0);
--- a/src/records.c
+++ b/src/records.c
@@ -4,6 +4,11 @@
  * them share one value: a page. A job or machine stays on the page it was first put on until it is gone, and a page is
  * written anew as a whole.
  *
+ * A page of version 1 may be larger than a value will be allowed to be. What it names is put on pages of our size; once
+ * all of these are written the large one goes. Until then both are read, and that is safe: a task done on either is
+ * done, the mark of what may have been started is the highest of any, and a machine on either is on record. A job whose
+ * parts only version 1 writes stays where it is, unchanged, and starts nothing more, while a version 1 may be about.
+ *
  * One transaction at a time. Each raises the flush record and is conditional on the version that the one before gave
  * it, so one that comes late fails: without that an older set of results could overwrite a newer one of the same term. */
 #include "controller.h"
@@ -11,14 +16,17 @@
 #include <string.h>
 
 #define FLUSH_EVERY_S 0.1 /* at the most, for what tasks wait for; the rest is written more seldom: */
-#define PROGRESS_EVERY_S 1.0
+#define PROGRESS_EVERY_S 1.0 /* more seldom where many pages have news: */
+#define PROGRESS_PART 0.4    /* of the changes, for that */
+#define REFUSED_PAUSE_S 0.5
 #define CLEAN_EVERY_S 3.0
 #define MOVE_EVERY_S 1.0 /* records of jobs that ended long ago */
+#define MOVE_PART 0.15   /* of the changes, for that */
 #define PAGE_BYTES 12000u /* and less where values have to be smaller */
 #define TXN_BYTES 52000u
 #define RELEASE_STEP 64u
 
-/* A job's part on a page: HZB_CHUNK of its tasks, all of them for most jobs. */
+/* A job's part on a page, all of its tasks for most jobs. */
 typedef struct
 {
   HzbJob *job;
@@ -34,8 +42,11 @@
   GPtrArray *machines; /* HzbMachine, of a page of machines */
   gsize bytes;         /* about what the value takes */
   gboolean exists;
+  gboolean waited_for; /* as of the last look */
   gboolean dirty; /* a job on it has news */
   gboolean stale; /* it still names what is gone */
+  gboolean must;     /* it takes over what another page names, which goes once it is written */
+  gboolean retiring; /* the other: too large, or with parts as version 1 has them */
   struct timespec written;
 } Page;
 
@@ -46,6 +57,8 @@
   guint numbers;    /* used so far */
   guint64 version, flushes; /* of the flush record */
   gboolean flushing, moving;
+  guint retiring;    /* pages */
+  gboolean any_must;
   struct timespec next, next_clean, next_move;
 };
 
@@ -89,14 +102,20 @@
   return g_strdup_printf ("%s%06u", page->of_machines ? HZB_KEY_MACHINES : HZB_KEY_PROGRESS, page->number);
 }
 
+static gsize
+most_bytes (const HzbRecords *r)
+{
+  return MIN (PAGE_BYTES, (gsize) (r->c->settings->store_value_kb * 1024 * 0.9));
+}
+
 static Page *
 page_with_room (HzbRecords *r, gboolean of_machines, gsize bytes)
 {
-  gsize most = MIN (PAGE_BYTES, (gsize) (r->c->settings->store_value_kb * 1024 * 0.75));
+  gsize most = most_bytes (r);
   for (guint i = 0; i < r->pages->len; i++)
     {
       Page *page = r->pages->pdata[i];
-      if (page->of_machines == of_machines && page->bytes + bytes <= most)
+      if (page->of_machines == of_machines && !page->retiring && page->bytes + bytes <= most)
         return page;
     }
   return page_new (r, r->numbers + 1, of_machines);
@@ -124,16 +143,24 @@
   g_ptr_array_set_size (r->pages, 0);
   r->numbers = 0;
   r->version = r->flushes = 0;
-  r->flushing = r->moving = FALSE;
+  r->flushing = r->moving = r->any_must = FALSE;
+  r->retiring = 0;
 }
 
 /* ---- what is on pages ---- */
 
+static gsize
+part_bytes (const HzbRecords *r, const HzbJob *job, guint chunk)
+{
+  guint tasks = MIN (r->c->jobs->chunk, job->n_tasks - chunk * r->c->jobs->chunk);
+  /* A service's tasks are never done. */
+  return 120 + strlen (job->uid) + strlen (job->spec->team) + (job->spec->service ? 0 : tasks / 6);
+}
+
 static void
-add_part (Page *page, HzbJob *job, guint chunk)
+add_part (HzbRecords *r, Page *page, HzbJob *job, guint chunk)
 {
-  guint tasks = MIN (HZB_CHUNK, job->n_tasks - chunk * HZB_CHUNK);
-  Part part = { job, chunk, 120 + strlen (job->uid) + strlen (job->spec->team) + tasks / 6 };
+  Part part = { job, chunk, part_bytes (r, job, chunk) };
   g_array_append_val (page->parts, part);
   page->bytes += part.bytes;
 }
@@ -141,7 +168,7 @@
 static gsize
 machine_bytes (const HzbMachine *m)
 {
-  return 90 + strlen (m->name) + (m->addr ? strlen (m->addr) : 0) + strlen (m->type_name) + strlen (m->zone);
+  return 85 + strlen (m->name) + strlen (m->type_name) + strlen (m->zone);
 }
 
 static void
@@ -152,17 +179,27 @@
   m->page = page->number;
 }
 
+/* Version 1 reads it as we write it, or there is none about any more. */
+static gboolean
+writable (const HzbRecords *r, const HzbJob *job)
+{
+  return job->n_tasks <= r->c->jobs->chunk || hzb_election_format (r->c->election) >= 2;
+}
+
 static void
 put_on_pages (HzbRecords *r, HzbJob *job)
 {
-  if (job->on_pages)
+  if (job->on_pages || !writable (r, job))
     return;
-  for (guint k = 0; k < hzb_job_chunks (job); k++)
+  for (guint k = 0; k < hzb_job_chunks (r->c->jobs, job); k++)
     {
-      guint tasks = MIN (HZB_CHUNK, job->n_tasks - k * HZB_CHUNK);
-      add_part (page_with_room (r, FALSE, 200 + tasks / 6), job, k);
+      Page *page = page_with_room (r, FALSE, part_bytes (r, job, k));
+      add_part (r, page, job, k);
+      page->must = page->must || job->unsplit;
+      r->any_must = r->any_must || job->unsplit;
     }
   job->on_pages = TRUE;
+  job->unsplit = FALSE;
 }
 
 void
@@ -219,8 +256,9 @@
   g_autofree char *uid = slash ? g_strndup (value->string, (gsize) (slash - value->string)) : NULL;
   HzbJob *job = uid ? hzb_jobs_find (c->jobs, uid) : NULL;
   guint chunk = slash ? (guint) g_ascii_strtoull (slash + 1, NULL, 10) : 0;
+  gboolean ours = TRUE;
 
-  if (!job || job->state == HZB_JOB_DONE || chunk >= hzb_job_chunks (job))
+  if (!job || job->state == HZB_JOB_DONE)
     {
       page->stale = TRUE;
       return;
@@ -233,9 +271,18 @@
   hzb_jobs_activate (c->jobs, job);
   if (!job->tasks)
     return;
-  hzb_job_read_progress (c->jobs, job, chunk, value);
-  add_part (page, job, chunk);
-  job->on_pages = TRUE;
+  if (!hzb_job_read_progress (c->jobs, job, chunk, value, &ours))
+    page->stale = TRUE;
+  else if (ours && !job->unsplit)
+    {
+      add_part (r, page, job, chunk);
+      job->on_pages = TRUE;
+    }
+  else
+    {
+      hzb_records_drop_job (r, job); /* of several parts some may be ours already */
+      job->unsplit = page->retiring = TRUE;
+    }
 }
 
 static void
@@ -262,6 +309,7 @@
 {
   gboolean of_machines = g_str_has_prefix (item->key, HZB_KEY_MACHINES);
   const cJSON *entry;
+  char *text;
   Page *page;
 
   if (g_str_equal (item->key, HZB_KEY_FLUSH))
@@ -274,6 +322,9 @@
     return;
   page = page_new (r, (guint) g_ascii_strtoull (strrchr (item->key, '/') + 1, NULL, 10), of_machines);
   page->exists = TRUE;
+  text = cJSON_PrintUnformatted (item->value);
+  page->retiring = strlen (text) > r->c->settings->store_value_kb * 1024;
+  cJSON_free (text);
   cJSON_ArrayForEach (entry, item->value)
     if (of_machines)
       take_machine (r, page, entry);
@@ -281,6 +332,41 @@
       take_progress (r, page, entry);
 }
 
+/* All has been read: what stands on pages that are to go is put on others. */
+void
+hzb_records_loaded (HzbRecords *r)
+{
+  guint read = r->pages->len;
+
+  for (guint i = 0; i < read; i++)
+    {
+      Page *page = r->pages->pdata[i];
+      g_autoptr (GArray) parts = page->retiring ? page->parts : NULL;
+      g_autoptr (GPtrArray) machines = page->retiring ? page->machines : NULL;
+      if (!page->retiring)
+        continue;
+      r->retiring++;
+      page->parts = g_array_new (FALSE, FALSE, sizeof (Part));
+      page->machines = g_ptr_array_new ();
+      page->bytes = 0;
+      for (guint k = 0; k < parts->len; k++)
+        {
+          const Part *part = &g_array_index (parts, Part, k);
+          Page *to = page_with_room (r, FALSE, part->bytes);
+          add_part (r, to, part->job, part->chunk);
+          to->must = r->any_must = TRUE;
+        }
+      for (guint k = 0; k < machines->len; k++)
+        {
+          Page *to = page_with_room (r, TRUE, machine_bytes (machines->pdata[k]));
+          add_machine (to, machines->pdata[k]);
+          to->must = r->any_must = TRUE;
+        }
+    }
+  if (r->retiring)
+    g_message ("records: %u pages are to be written anew", r->retiring);
+}
+
 /* ---- writing ---- */
 
 typedef struct
@@ -371,7 +457,12 @@
         acceptance->removing = FALSE;
     }
   for (guint i = 0; i < r->pages->len; i++)
-    ((Page *) r->pages->pdata[i])->stale = TRUE;
+    {
+      Page *page = r->pages->pdata[i];
+      page->stale = TRUE;
+      page->must = r->retiring && !page->retiring;
+    }
+  r->any_must = r->retiring > 0;
 }
 
 /* What became of a flush without an answer: its number is in the flush record, or not. */
@@ -430,7 +521,10 @@
       held->c->next_dispatch = (struct timespec){ 0 }; /* what was released, and recorded, can be used */
     }
   else
-    flush_failed (r, flush);
+    {
+      flush_failed (r, flush);
+      r->next = hzb_time_plus (hzb_clock_now (held->c->clock), REFUSED_PAUSE_S);
+    }
   flush_free (flush);
   g_free (held);
   r->flushing = FALSE;
@@ -440,7 +534,7 @@
 static guint
 release_step (const HzbJob *job)
 {
-  return job->spec->gang ? job->n_tasks : MAX (RELEASE_STEP, job->n_tasks / 32);
+  return job->spec->gang || job->spec->service ? job->n_tasks : MAX (RELEASE_STEP, job->n_tasks / 32);
 }
 
 static gboolean
@@ -450,7 +544,7 @@
 }
 
 static cJSON *
-pack_progress_page (Page *page, Flush *out)
+pack_progress_page (HzbRecords *r, Page *page, Flush *out)
 {
   cJSON *value = cJSON_CreateObject ();
   for (guint i = 0; i < page->parts->len; i++)
@@ -459,18 +553,18 @@
       HzbJob *job = part->job;
       FlushedPart *fp = g_new0 (FlushedPart, 1);
       g_autofree char *name = g_strdup_printf ("%s/%u", job->uid, part->chunk);
-      guint first = part->chunk * HZB_CHUNK;
+      guint size = r->c->jobs->chunk, first = part->chunk * size;
       if (wants_release (job))
         job->releasing = MIN (job->n_tasks, job->releasing + release_step (job));
       job->wants_release = FALSE;
       fp->uid = g_strdup (job->uid);
       fp->releasing = job->releasing;
       fp->finished = g_array_new (FALSE, FALSE, sizeof (guint));
-      for (guint k = first; job->finished && k < MIN (job->n_tasks, first + HZB_CHUNK); k++)
+      for (guint k = first; job->finished && k < MIN (job->n_tasks, first + size); k++)
         if (job->tasks[k].state == HZB_TASK_FINISHED)
           g_array_append_val (fp->finished, k);
       g_ptr_array_add (out->parts, fp);
-      cJSON_AddItemToObject (value, name, hzb_job_pack_progress (job, part->chunk));
+      cJSON_AddItemToObject (value, name, hzb_job_pack_progress (r->c->jobs, job, part->chunk));
     }
   return value;
 }
@@ -491,10 +585,24 @@
   return value;
 }
 
+/* What is on a page that is to go is on others by now, durably. */
+static gboolean
+may_go (const HzbRecords *r)
+{
+  if (r->any_must)
+    return FALSE;
+  for (guint i = 0; i < r->c->jobs->active->len; i++)
+    if (((HzbJob *) r->c->jobs->active->pdata[i])->unsplit)
+      return FALSE;
+  return TRUE;
+}
+
 /* How long the page may wait, as of its last writing; below 0: it need not be written. */
 static double
-may_wait_s (const Page *page)
+may_wait_s (const HzbRecords *r, const Page *page, double progress_s)
 {
+  if (page->retiring)
+    return page->exists && may_go (r) ? CLEAN_EVERY_S : -1;
   for (guint i = 0; i < page->machines->len; i++)
     {
       const HzbMachine *m = page->machines->pdata[i];
@@ -504,15 +612,20 @@
   for (guint i = 0; i < page->parts->len; i++)
     if (wants_release (g_array_index (page->parts, Part, i).job))
       return 0;
+  if (page->must)
+    return FLUSH_EVERY_S;
   if (page->dirty)
-    return PROGRESS_EVERY_S;
+    return progress_s;
   return page->stale || (page->exists && !page->parts->len && !page->machines->len) ? CLEAN_EVERY_S : -1;
 }
 
+/* What something waits for goes first: a release, a new machine. */
 static gint
 longest_unwritten (gconstpointer a, gconstpointer b)
 {
   const Page *x = *(Page *const *) a, *y = *(Page *const *) b;
+  if (x->waited_for != y->waited_for)
+    return x->waited_for ? -1 : 1;
   return hzb_time_before (x->written, y->written) ? -1 : hzb_time_before (y->written, x->written);
 }
 
@@ -521,15 +634,16 @@
 {
   g_autofree char *key = page_key (page);
 
-  page->stale = page->dirty = FALSE;
+  page->stale = page->dirty = page->must = FALSE;
   page->written = now;
   if (!page->parts->len && !page->machines->len)
     {
       hzb_wire_txn_delete (txn, key);
       page->exists = FALSE;
+      r->retiring -= page->retiring;
       return;
     }
-  hzb_wire_txn_put (txn, key, page->of_machines ? pack_machine_page (r, page, out) : pack_progress_page (page, out), 0);
+  hzb_wire_txn_put (txn, key, page->of_machines ? pack_machine_page (r, page, out) : pack_progress_page (r, page, out), 0);
   page->exists = TRUE;
 }
 
@@ -541,14 +655,15 @@
   guint room = c->settings->store_txn_ops - 1;
   gsize bytes = 0;
   HzbAcceptance *spent;
-  gboolean clean;
+  gboolean clean, any_must = FALSE;
+  double progress_s = 0;
   Flush *out;
   cJSON *txn, *value;
 
   for (guint i = 0; i < c->jobs->active->len; i++)
     {
       HzbJob *job = c->jobs->active->pdata[i];
-      if (!job->on_pages && (job->dirty || wants_release (job)))
+      if (!job->on_pages && (job->dirty || wants_release (job) || (job->unsplit && writable (r, job))))
         put_on_pages (r, job);
     }
   for (guint i = 0; i < r->pages->len; i++)
@@ -559,6 +674,13 @@
     }
   for (guint i = 0; i < c->jobs->active->len; i++)
     ((HzbJob *) c->jobs->active->pdata[i])->dirty = FALSE;
+  for (guint i = 0; i < r->pages->len; i++)
+    {
+      progress_s += ((Page *) r->pages->pdata[i])->dirty;
+      any_must = any_must || ((Page *) r->pages->pdata[i])->must;
+    }
+  r->any_must = any_must; /* the flushes before have been applied, or set it again */
+  progress_s = MAX (PROGRESS_EVERY_S, progress_s / (PROGRESS_PART * c->settings->store_write_rps));
   for (guint i = 0; i < c->machines->all->len; i++)
     {
       HzbMachine *m = c->machines->all->pdata[i];
@@ -568,7 +690,8 @@
   for (guint i = 0; i < r->pages->len; i++)
     {
       Page *page = r->pages->pdata[i];
-      double wait = may_wait_s (page);
+      double wait = may_wait_s (r, page, progress_s);
+      page->waited_for = wait == 0;
       if (wait >= 0 && hzb_time_between (page->written, now) >= wait)
         g_ptr_array_add (due, page);
     }
@@ -646,8 +769,8 @@
 
   if (r->moving || hzb_time_before (now, r->next_move))
     return;
-  r->next_move = hzb_time_plus (now, MOVE_EVERY_S);
   old = hzb_jobs_old (c->jobs, MAX (1, c->settings->store_txn_ops / 2));
+  r->next_move = hzb_time_plus (now, MAX (MOVE_EVERY_S, old->len * 2 / (MOVE_PART * c->settings->store_write_rps)));
   if (!old->len)
     return;
   uids = g_ptr_array_new_with_free_func (g_free);
--- a/src/rentals.c
+++ b/src/rentals.c
@@ -180,6 +180,12 @@
         hzb_machine_empty_lists (c->jobs, m);
       if (m->state == HZB_MACHINE_ACTIVE && m->tasks->len)
         hzb_machine_set_state (c->machines, m, HZB_MACHINE_DRAINING, "to be returned");
+      /* What would never end goes elsewhere; its machine tells with its next report that it is to stop. */
+      for (guint k = 0; m->service_cpus > 0 && m->state == HZB_MACHINE_DRAINING && k < m->tasks->len; k++)
+        {
+          HzbTask *task = m->tasks->pdata[k];
+          task->stopping = task->stopping || task->job->spec->service;
+        }
       if (m->state == HZB_MACHINE_UNHEARD ? in_state > c->settings->lease_s + 2 : m->tasks->len == 0 || in_state > 120)
         hzb_machine_set_state (c->machines, m, HZB_MACHINE_RETURNING, "to be returned");
     }
--- a/src/search.c
+++ b/src/search.c
@@ -22,19 +22,50 @@
   HzbMachine *m;
 } Offer;
 
+#define NO_ROOM_S 3.0 /* lower work has to be stopped first */
+
+/* A replica never ends, so what counts is not how long it would take but how soon it can be there. */
+static double
+replica_cost (const HzbSearch *search, const HzbMachine *m)
+{
+  const HzbSpec *spec = search->job->spec;
+  double until_report = search->d->settings->report_s - hzb_time_between (m->heard, search->now);
+  gboolean room = m->cpus + m->listed_service_cpus + spec->cpus <= m->type->cpus + 1e-6
+                  && m->memory + m->listed_service_memory + spec->memory_gb <= m->type->memory_gb + 1e-6;
+  return MAX (until_report, 0) + hzb_fetch_s (m, spec) + (room ? 0 : NO_ROOM_S);
+}
+
 static double
 offer_cost (const HzbSearch *search, HzbMachine *m)
 {
+  guint v = m->service_cpus > 0 ? hzb_machine_speed (m, search->job->spec) : (guint) search->speeds[m->type->index];
   HzbEstimate *estimate = &m->estimates[search->job->class];
+  if (search->job->spec->service)
+    return replica_cost (search, m);
   hzb_estimate_shift (estimate, search->now);
-  return hzb_estimate_mean (estimate) + search->d->h * hzb_job_mean_s (search->job) / search->speeds[m->type->index]
+  return hzb_estimate_mean (estimate) + search->d->h * hzb_job_mean_s (search->job) / MAX (v, 1)
          + hzb_fetch_s (m, search->job->spec);
 }
 
+/* samePlace and spread, counting what is listed too. */
+static gboolean
+zone_is_open (const HzbSearch *search, const HzbMachine *m)
+{
+  const HzbJob *job = search->job;
+  guint here;
+  if (!search->in_zone)
+    return TRUE;
+  here = GPOINTER_TO_UINT (g_hash_table_lookup (search->in_zone, m->zone));
+  return (!job->spec->same_zone || here == search->placed) && (!job->spec->spread || here + 1 <= (job->n_tasks + 1) / 2);
+}
+
 static gboolean
 may_take (const HzbSearch *search, const HzbMachine *m)
 {
   const HzbSpec *spec = search->job->spec;
+  if (!zone_is_open (search, m) || (spec->service ? !hzb_machine_takes_replica (m, spec) : m->kept)
+      || (m->service_cpus > 0 && hzb_machine_speed (m, spec) < 1))
+    return FALSE;
   return hzb_machine_usable (m) && search->speeds[m->type->index] >= 1 /* those that hold none are skipped */
          && (spec->spot || !m->spot) && (!spec->zone || g_str_equal (spec->zone, m->zone))
          && !(m->last_failed_job && g_str_equal (m->last_failed_job, search->job->uid));
@@ -69,9 +100,18 @@
 hzb_search_clear (HzbSearch *search)
 {
   g_free (search->speeds);
+  g_clear_pointer (&search->in_zone, g_hash_table_unref);
   g_array_unref (search->heap);
 }
 
+static void
+count_zone (HzbSearch *search, const HzbMachine *m)
+{
+  guint here = GPOINTER_TO_UINT (g_hash_table_lookup (search->in_zone, m->zone));
+  g_hash_table_insert (search->in_zone, g_strdup (m->zone), GUINT_TO_POINTER (here + 1));
+  search->placed++;
+}
+
 void
 hzb_search_begin (HzbSearch *search, HzbDispatch *d, HzbJob *job, struct timespec now)
 {
@@ -83,6 +123,12 @@
   search->speeds = g_new0 (double, types ? types->len + 1 : 1);
   for (guint i = 0; types && i < types->len; i++)
     search->speeds[i] = hzb_type_speed (types->pdata[i], job->spec);
+  if (!job->spec->spread && !job->spec->same_zone)
+    return;
+  search->in_zone = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (guint i = 0; (job->placed || job->listed) && i < job->n_tasks; i++)
+    if (job->tasks[i].machine)
+      count_zone (search, job->tasks[i].machine);
 }
 
 void
@@ -116,10 +162,25 @@
   return search->heap->len ? g_array_index (search->heap, Offer, 0).m : NULL;
 }
 
+static void
+drop_best (HzbSearch *search)
+{
+  g_array_index (search->heap, Offer, 0) = g_array_index (search->heap, Offer, search->heap->len - 1);
+  g_array_set_size (search->heap, search->heap->len - 1);
+  if (search->heap->len)
+    sift_down (search->heap, 0);
+}
+
 void
 hzb_search_sent (HzbSearch *search)
 {
   Offer *best = &g_array_index (search->heap, Offer, 0);
+  if (search->in_zone)
+    count_zone (search, best->m);
   best->cost = offer_cost (search, best->m);
   sift_down (search->heap, 0);
+  /* A zone that has half of a job's tasks by now, or a machine that is full of replicas, takes no more. */
+  while ((search->in_zone || search->job->spec->service) && search->heap->len
+         && !may_take (search, g_array_index (search->heap, Offer, 0).m))
+    drop_best (search);
 }
--- a/src/search.h
+++ b/src/search.h
@@ -11,6 +11,8 @@
   struct timespec now;
   double *speeds; /* by type */
   GArray *heap;   /* Offer, the least first */
+  GHashTable *in_zone; /* zone -> the job's tasks that are placed or listed there; NULL: it does not matter */
+  guint placed;        /* in any zone */
 } HzbSearch;
 
 void hzb_search_begin (HzbSearch *search, HzbDispatch *dispatch, HzbJob *job, struct timespec now);
--- a/src/settings.c
+++ b/src/settings.c
@@ -88,6 +88,26 @@
   g_free (objective);
 }
 
+/* The state service's limits fall to these without notice, some time after a start: what is written keeps to the lesser
+ * of both from the beginning. A key that is absent does not change. */
+static void
+read_next_limits (HzbSettings *s, const cJSON *state, GString *faults)
+{
+  const cJSON *next = cJSON_GetObjectItemCaseSensitive (state, "next");
+
+  if (!next)
+    return;
+  if (!cJSON_IsObject (next))
+    {
+      fault (faults, "cluster.state", "next", "a table");
+      return;
+    }
+  s->store_rps = MIN (s->store_rps, number_at (next, "cluster.state.next", "rps", 1, s->store_rps, faults));
+  s->store_write_rps = MIN (s->store_write_rps, number_at (next, "cluster.state.next", "write_rps", 1, s->store_write_rps, faults));
+  s->store_value_kb = MIN (s->store_value_kb, number_at (next, "cluster.state.next", "value_kb", 1, s->store_value_kb, faults));
+  s->store_txn_ops = MIN (s->store_txn_ops, (guint) number_at (next, "cluster.state.next", "txn_ops", 2, s->store_txn_ops, faults));
+}
+
 static void
 read_cluster (HzbSettings *s, const cJSON *cluster, GString *faults)
 {
@@ -137,6 +157,7 @@
       s->store_write_rps = number_at (table, "cluster.state", "write_rps", 1, NAN, faults);
       s->store_value_kb = number_at (table, "cluster.state", "value_kb", 1, NAN, faults);
       s->store_txn_ops = (guint) number_at (table, "cluster.state", "txn_ops", 2, NAN, faults);
+      read_next_limits (s, table, faults);
     }
   if ((table = table_at (cluster, "cluster", "cloud", faults)))
     {
--- a/src/settings.h
+++ b/src/settings.h
@@ -31,6 +31,7 @@
   guint size;
   double skew_ms;
   double report_s, lease_s, gang_wait_s, gang_peer_s, cancel_s;
+  /* Of the state service: the lesser of what it takes now and what it will take. */
   double store_rps, store_write_rps, store_value_kb;
   guint store_txn_ops;
   double cloud_rps, list_lag_s;
--- a/src/store.c
+++ b/src/store.c
@@ -1,5 +1,7 @@
 #include "store.h"
 
+#include <string.h>
+
 #define CALL_MS 2500
 #define READ_CALL_MS 1700 /* a user waits for it, and not for longer than two seconds */
 #define LEASE_CALL_MS 1500
@@ -24,7 +26,7 @@
   GQueue waiting[HZB_STORE_N_PRIORITIES];
   double requests, writes; /* what the budget holds now */
   struct timespec filled, served, not_before;
-  gboolean ever_served;
+  gboolean ever_served, told_malformed;
 };
 
 HzbStore *
@@ -85,8 +87,11 @@
            : status == 404 || status == 410 ? HZB_STORE_ABSENT
            : status == 0 || status >= 500   ? (status == 503 ? HZB_STORE_REFUSED : HZB_STORE_UNKNOWN)
                                             : HZB_STORE_REFUSED;
-  if (status == 400)
-    g_warning ("store: %s %s refused as malformed: %s", request->method, request->path, body);
+  /* Once: whoever sent it will try again, and a log full of it helps nobody. */
+  if (status == 400 && !store->told_malformed)
+    g_warning ("store: %s %s with %u changes and %u bytes is refused: %s (more of these are not logged)", request->method,
+               request->path, request->writes, (guint) (request->body ? strlen (request->body) : 0), body);
+  store->told_malformed = store->told_malformed || status == 400;
   request->done (result, body, request->user);
   request_free (request);
 }
--- a/tests/test-jobs.c
+++ b/tests/test-jobs.c
@@ -89,6 +89,7 @@
 {
   Bench b, after;
   HzbJob *job, *again;
+  gboolean ours = FALSE;
   cJSON *value;
   bench_up (&b, 1);
   bench_up (&after, 1);
@@ -99,10 +100,11 @@
       hzb_task_set_state (b.jobs, &job->tasks[i], HZB_TASK_UNKNOWN, NULL);
       hzb_task_set_state (b.jobs, &job->tasks[i], HZB_TASK_FINISHED, NULL);
     }
-  value = hzb_job_pack_progress (job, 0);
+  value = hzb_job_pack_progress (b.jobs, job, 0);
   again = bench_job (&after, "red", HZB_URGENCY_NORMAL, 50, 1, 10);
   again->released = again->releasing = 0;
-  hzb_job_read_progress (after.jobs, again, 0, value);
+  g_assert_true (hzb_job_read_progress (after.jobs, again, 0, value, &ours));
+  g_assert_true (ours);
   g_assert_cmpuint (again->done, ==, 8);
   /* What may have been started counts against the team until it is found or ruled out. */
   g_assert_cmpuint (again->unknown, ==, 34);
@@ -129,12 +131,12 @@
       hzb_task_set_state (b.jobs, &job->tasks[i], HZB_TASK_UNKNOWN, NULL);
       hzb_task_set_state (b.jobs, &job->tasks[i], HZB_TASK_FINISHED, NULL);
     }
-  g_assert_cmpuint (hzb_job_chunks (job), ==, 4);
-  for (guint k = 0; k < 4; k++)
+  g_assert_cmpuint (hzb_job_chunks (b.jobs, job), ==, 13);
+  for (guint k = 0; k < 13; k++)
     {
-      cJSON *value = hzb_job_pack_progress (job, k);
+      cJSON *value = hzb_job_pack_progress (b.jobs, job, k);
       g_autofree char *text = cJSON_PrintUnformatted (value);
-      g_assert_cmpuint (strlen (text), <, 8 * 1024);
+      g_assert_cmpuint (strlen (text), <, 2 * 1024 * 0.9);
       cJSON_Delete (value);
     }
   bench_down (&b);
