--- a/src/controller.c
+++ b/src/controller.c
@@ -586,7 +586,8 @@
     begin_hold (c);
   else if (!hzb_election_leading (c->election) && c->hold > HZB_HOLD_LEASED)
     end_hold (c);
-  if (c->hold == HZB_HOLD_FULL && hzb_election_format (c->election) < HZB_FORMAT && hzb_peers_all_format (c->peers, HZB_FORMAT))
+  if (c->hold == HZB_HOLD_FULL && c->format == HZB_FORMAT && hzb_election_format (c->election) < HZB_FORMAT
+      && hzb_peers_all_format (c->peers, HZB_FORMAT))
     hzb_election_raise_format (c->election);
   if (hzb_election_leading (c->election))
     hzb_leases_tick (c->leases, now);
@@ -683,6 +684,7 @@
   c->lessee = hzb_lessee_new (c);
   c->metrics = hzb_metrics_new ();
   c->lease_blocks = TRUE;
+  c->format = HZB_FORMAT;
   c->incarnation = g_strdup_printf ("%08x%08x", g_rand_int (c->rand), g_rand_int (c->rand));
   c->rentals = hzb_rentals_new (c);
   c->records = hzb_records_new (c);
--- a/src/controller.h
+++ b/src/controller.h
@@ -67,6 +67,7 @@
   guint64 settings_version; /* of the operators' settings */
   gboolean lease_blocks;
   char *incarnation;
+  guint format; /* of records and messages, that this process says it reads */
   HzbPeers *peers;
   HzbRentals *rentals;
 
--- a/src/keep.c
+++ b/src/keep.c
@@ -7,7 +7,9 @@
 suits (const HzbMachine *m, const HzbSpec *spec, const char *zone)
 {
   return m->type && !m->spot && !m->wanted_back && !m->deaf && hzb_type_holds (m->type, spec)
-         && (m->state == HZB_MACHINE_ACTIVE || m->state == HZB_MACHINE_LENT) && (!zone || g_str_equal (zone, m->zone));
+         && (m->state == HZB_MACHINE_ACTIVE || m->state == HZB_MACHINE_LENT || m->state == HZB_MACHINE_BOOTING
+             || m->state == HZB_MACHINE_UNHEARD)
+         && (!zone || g_str_equal (zone, m->zone));
 }
 
 static double
@@ -102,7 +104,8 @@
   return keep;
 }
 
-/* The one that can serve soonest: ours, with replicas already, and with the least other work to wait for. */
+/* The one that can serve soonest: ours, with replicas already, and with the least other work to wait for. One that still
+ * boots is kept from the start, or it would be lent as soon as it is up. */
 static HzbMachine *
 next_to_keep (const HzbKeep *keep, HzbMachines *machines, const char *zone)
 {
@@ -111,7 +114,7 @@
   for (guint i = 0; i < machines->all->len; i++)
     {
       HzbMachine *m = machines->all->pdata[i];
-      double cost = (m->state == HZB_MACHINE_LENT ? 1000 : 0) + m->cpus - 100 * m->service_cpus;
+      double cost = (m->state == HZB_MACHINE_LENT ? 1000 : m->state == HZB_MACHINE_ACTIVE ? 0 : 100) + m->cpus - 100 * m->service_cpus;
       if (m->kept || !suits (m, keep->spec, zone) || free_for_replicas (m) < keep->spec->cpus || cost >= least)
         continue;
       least = cost;
--- a/src/peers.c
+++ b/src/peers.c
@@ -149,7 +149,7 @@
   cJSON_AddStringToObject (root, "incarnation", peers->c->incarnation);
   hzb_json_add_u64 (root, "born", peers->born);
   hzb_json_add_u64 (root, "number", ++peers->number);
-  cJSON_AddNumberToObject (root, "format", HZB_FORMAT);
+  cJSON_AddNumberToObject (root, "format", peers->c->format);
   return root;
 }
 
@@ -310,7 +310,7 @@
   else
     {
       cJSON *word = cJSON_CreateObject ();
-      cJSON_AddNumberToObject (word, "format", HZB_FORMAT);
+      cJSON_AddNumberToObject (word, "format", c->format);
       take_standing (c->peers, view, root);
       say_standing (c->peers, word);
       hzb_exchange_reply (exchange, 200, cJSON_PrintUnformatted (word), 0);
--- /dev/null
+++ b/tests/test-upgrade.c
@@ -0,0 +1,338 @@
+/* Services, lower limits of the state service, and two versions side by side. The records of version 1 that are read
+ * here were written for the purpose, as that version's code wrote them; what a process of version 1 does not say is taken
+ * out of the messages of a node that stands for one. */
+#include "troubles.h"
+
+#include <string.h>
+
+static WorldJob *
+add_service (World *w, double at, const char *team, guint n, double cpus, double cancel_at)
+{
+  WorldJob *job = world_add_job (w, at, team, n, cpus, 1e9);
+  job->lane = "service";
+  job->service = job->spread = job->wants_cancel = TRUE;
+  job->spot = FALSE;
+  job->cancel_at = cancel_at;
+  return job;
+}
+
+/* Replicas run until their job is cancelled, through machines that stop, notices and replicas that end by themselves; a
+ * service is never done. */
+static void
+test_service (void)
+{
+  for (guint32 seed = 400; seed < 406; seed++)
+    {
+      World *w = world_new (seed);
+      WorldJob *calm = add_service (w, 3, "red", 4, 1, 120), *ends = add_service (w, 4, "blue", 3, 1, 120);
+      WorldMachine *m;
+      ends->run_s = 9;
+      for (guint i = 0; i < 6; i++)
+        world_add_job (w, 1 + i, i % 2 ? "red" : "blue", 5, 2, 12);
+      world_run (w, 50);
+      g_assert_cmpfloat (calm->missed_s, <, 0.1 * calm->wanted_s);
+      g_assert_cmpfloat (ends->missed_s, <, 0.6 * ends->wanted_s);
+      m = machine_with_tasks (w);
+      if (seed % 2)
+        {
+          m->failed = TRUE;
+          g_ptr_array_set_size (m->tasks, 0);
+        }
+      else
+        m->taken_at = w->now + 8;
+      w->calm_at = w->now + 15;
+      world_run (w, 118);
+      g_assert_false (calm->told_done || ends->told_done);
+      g_assert_cmpfloat (calm->missed_s, <, 0.4 * calm->wanted_s);
+      world_run (w, 300);
+      g_assert_true (calm->told_cancelled && ends->told_cancelled);
+      expect_all_over (w, "service", seed);
+      world_free (w);
+    }
+}
+
+/* Production goes first: a fleet full of lower work makes room at once, and of a team at its limit lower work stops. */
+static void
+test_service_preempts (void)
+{
+  World *w = world_new (410);
+  WorldJob *service;
+  for (guint i = 0; i < 8; i++)
+    world_add_job (w, 1 + 0.1 * i, i % 2 ? "red" : "blue", 6, 4, 200);
+  world_run (w, 40);
+  service = add_service (w, 40, "red", 4, 2, 120);
+  world_run (w, 110);
+  g_assert_cmpfloat (service->wanted_s, >, 200);
+  g_assert_cmpfloat (service->missed_s, <, 0.3 * service->wanted_s);
+  world_free (w);
+}
+
+static void
+answered (HzbExchange *exchange, guint status, const char *body, guint retry)
+{
+  guint *out = exchange->impl;
+  out[0] = status;
+  out[1] = retry;
+}
+
+static guint
+ask (World *w, guint node, const char *method, const char *path, const char *body, guint *retry)
+{
+  HzbExchange *exchange = g_new0 (HzbExchange, 1);
+  guint out[2] = { 0 };
+  exchange->method = g_strdup (method);
+  exchange->path = g_strdup (path);
+  exchange->body = g_strdup (body);
+  exchange->length = strlen (body);
+  exchange->reply = answered;
+  exchange->impl = out;
+  hzb_controller_request (exchange, w->nodes[node].c);
+  world_run (w, w->now + 3);
+  if (retry)
+    *retry = out[1];
+  return out[0];
+}
+
+static const char standing[] = "{\"uid\":\"run-%06u\",\"lane\":\"web\",\"owner\":\"%s\",\"shape\":\"standing\",\"urgency\":\"production\",\"pieces\":%u,"
+                               "\"cpus\":%g,\"gpus\":0,\"ramGb\":1,\"bundle\":\"img\",\"sizeGb\":0.5,\"samePlace\":false,\"spread\":false,"
+                               "\"loaners\":true,\"expectS\":%s,\"snapshotEveryS\":0,\"snapshotS\":0}";
+
+static guint
+submit (World *w, guint node, guint uid, const char *team, guint n, double cpus, const char *expect, guint *retry)
+{
+  g_autofree char *body = g_strdup_printf (standing, uid, team, n, cpus, expect);
+  return ask (w, node, "POST", "/api/jobs", body, retry);
+}
+
+/* Odd requests get their answer and are never accepted, on every node. */
+static void
+test_odd_requests (void)
+{
+  World *w = world_new (411);
+  WorldJob *job = world_add_job (w, 1, "red", 4, 2, 8);
+  guint retry = 0;
+  g_autofree char *path = NULL;
+  /* Right after a start nothing is decided yet, but what is malformed. */
+  g_assert_cmpuint (submit (w, 0, 1, "red", 0, 1, "0", NULL), ==, 400);
+  world_run (w, 25);
+  for (guint node = 0; node < WORLD_NODES; node++)
+    {
+      guint uid = 10 * (node + 1);
+      g_assert_cmpuint (submit (w, node, uid, "red", 30, 1, "0", NULL), ==, 422); /* all replicas: over the limit of 24 */
+      g_assert_cmpuint (submit (w, node, uid + 1, "red", 2, 20, "0", NULL), ==, 422); /* fits no machine */
+      g_assert_cmpuint (submit (w, node, uid + 2, "nobody", 2, 1, "0", NULL), ==, 422);
+      g_assert_cmpuint (submit (w, node, uid + 3, "red", 2, 1, "\"long\"", NULL), ==, 400);
+      g_assert_cmpuint (submit (w, node, uid + 4, "red", 2, 1, "-1", NULL), ==, 400);
+      g_assert_cmpuint (ask (w, node, "GET", "/api/jobs/run-000010", "", NULL), ==, 404);
+      g_assert_cmpuint (submit (w, node, uid + 5, "red", 2, 1, "0", NULL), ==, 201);
+      g_assert_cmpuint (submit (w, (node + 1) % WORLD_NODES, uid + 5, "red", 2, 1, "0", NULL), ==, 200); /* a repeat */
+    }
+  world_run (w, w->now + 20);
+  g_assert_true (job->told_done);
+  path = g_strdup_printf ("/api/jobs/%s/cancel", job->uid);
+  g_assert_cmpuint (ask (w, 1, "POST", path, "", NULL), ==, 200);
+  w->outage = TRUE;
+  world_run (w, w->now + 6);
+  for (guint node = 0; node < WORLD_NODES; node++)
+    {
+      g_assert_cmpuint (submit (w, node, 90, "red", 30, 1, "0", &retry), ==, 503);
+      g_assert_cmpuint (retry, >, 0);
+      g_assert_cmpuint (submit (w, node, 91, "red", 2, 1, "0", &retry), ==, 503);
+      g_assert_cmpuint (ask (w, node, "POST", path, "", NULL), ==, 200); /* done, and told so before */
+    }
+  world_free (w);
+}
+
+/* ---- two versions ---- */
+
+static void
+set_old (World *w, guint node, gboolean old)
+{
+  world_crash (w, node);
+  w->nodes[node].old = old;
+  world_start (w, node);
+}
+
+/* While one node is of version 1, silent or just restarted, no service is taken and nothing is written that it would
+ * misread; afterwards it is, and a return to version 1 is refused. */
+static void
+test_rollout (void)
+{
+  for (guint32 seed = 420; seed < 426; seed++)
+    {
+      World *w = world_new (seed);
+      guint retry = 0;
+      HzbController *c;
+      for (guint i = 0; i < WORLD_NODES; i++)
+        set_old (w, i, TRUE);
+      for (guint i = 0; i < 8; i++)
+        world_add_job (w, 1 + 3 * i, i % 2 ? "red" : "blue", 5, 1.5, 20)->wants_cancel = i % 3 == 2;
+      world_run (w, 15);
+      for (guint i = 0; i < WORLD_NODES; i++)
+        {
+          g_assert_cmpuint (submit (w, 2, 50, "red", 2, 1, "0", &retry), ==, 503);
+          g_assert_cmpuint (retry, >, 0);
+          g_assert_cmpint (hzb_election_format (w->nodes[2].c->election), ==, 1);
+          set_old (w, i, FALSE);
+          if (seed % 3 == 1 && i == 1)
+            set_old (w, 2, TRUE); /* it dies before its turn and comes back old */
+          if (seed % 3 == 2 && i == 0)
+            {
+              w->outage = TRUE;
+              world_run (w, w->now + 7);
+              w->outage = FALSE;
+            }
+          world_run (w, w->now + 6);
+        }
+      world_run (w, w->now + 8);
+      for (guint i = 0; i < WORLD_NODES; i++)
+        g_assert_cmpint (hzb_election_format (w->nodes[i].c->election), ==, 2);
+      g_assert_cmpuint (submit (w, 1, 50, "red", 2, 1, "0", NULL), ==, 201);
+      g_assert_cmpuint (ask (w, 0, "POST", "/api/jobs/run-000050/cancel", "", NULL), ==, 200);
+      /* The lead still passes on, by the key of format 2. */
+      crash_one (w, NULL);
+      world_run (w, w->now + 10);
+      start_all (w, NULL);
+      world_run (w, w->now + 10);
+      g_assert_cmpint (world_leader (w), !=, -1);
+      c = w->nodes[world_leader (w)].c;
+      set_old (w, (guint) (world_leader (w) + 1) % WORLD_NODES, TRUE);
+      world_run (w, w->now + 5);
+      g_assert_false (hzb_peers_all_format (c->peers, 2));
+      set_old (w, (guint) (world_leader (w) + 1) % WORLD_NODES, FALSE);
+      world_run (w, w->now + 200);
+      expect_all_over (w, "rollout", seed);
+      world_free (w);
+    }
+}
+
+/* Upgrades through deaths, cuts, outages and cancellations, with services from their end on, and limits that fall. */
+static void
+test_rollout_and_troubles (void)
+{
+  for (guint32 seed = 430; seed < 442; seed++)
+    {
+      World *w = world_new (seed);
+      for (guint i = 0; i < WORLD_NODES; i++)
+        set_old (w, i, TRUE);
+      for (guint i = 0; i < 12; i++)
+        {
+          WorldJob *job = world_add_job (w, 1 + 4 * i, i % 2 ? "red" : "blue", (guint) g_rand_int_range (w->rand, 1, 9), 1.5, 20);
+          job->wants_cancel = i % 3 == 2;
+          job->zone = i % 5 == 4 ? "zb" : NULL;
+        }
+      for (guint i = 0; i < 3; i++)
+        add_service (w, 30 + 8 * i, i % 2 ? "red" : "blue", 2 + i, 1, 130);
+      world_run (w, 14);
+      for (guint i = 0; i < WORLD_NODES; i++)
+        {
+          double at = w->now + g_rand_double_range (w->rand, 0, 4);
+          world_at (w, at, seed % 2 ? cut_leader : crash_one, NULL);
+          world_at (w, at + g_rand_double_range (w->rand, 2, 8), heal, NULL);
+          world_at (w, at + g_rand_double_range (w->rand, 2, 8), start_all, NULL);
+          if (seed % 4 == 3)
+            {
+              world_at (w, at, flip_outage, NULL);
+              world_at (w, at + 3, flip_outage, NULL);
+            }
+          set_old (w, i, FALSE);
+          world_run (w, w->now + g_rand_double_range (w->rand, 4, 10));
+        }
+      world_run (w, 60);
+      w->most_value = 2048;
+      w->most_changes = 8; /* as the settings of the world say, of 8 */
+      world_at (w, 70, crash_one, NULL);
+      world_at (w, 76, start_all, NULL);
+      world_at (w, 85, hurt_machine, NULL);
+      world_at (w, 95, crash_all, NULL);
+      world_run (w, 110);
+      start_all (w, NULL);
+      w->outage = FALSE;
+      w->calm_at = 125;
+      world_run (w, 500);
+      expect_all_over (w, "rollout and troubles", seed);
+      world_free (w);
+    }
+}
+
+/* What version 1 wrote is read and, where it is too large, written anew in small pages, with no moment at which a node
+ * that starts would read less. */
+static void
+test_large_records (void)
+{
+  for (guint32 seed = 450; seed < 454; seed++)
+    {
+      World *w = world_new (seed);
+      g_autoptr (GString) accepted = g_string_new ("{"), progress = g_string_new ("{"), machines = g_string_new ("{");
+      for (guint i = 0; i < WORLD_NODES; i++)
+        world_crash (w, i);
+      for (guint i = 0; i < 40; i++)
+        {
+          WorldJob *job = world_add_job (w, 1e6, i % 2 ? "red" : "blue", 4, 1, 4);
+          job->submitted = job->accepted = TRUE;
+          job->answered_at = 30;
+          job->finished[0] = job->finished[1] = 1;
+          g_string_append_printf (accepted,
+                                  "%s\"%s\":{\"state\":\"accepted\",\"at\":%u,\"spec\":{\"uid\":\"%s\",\"lane\":\"batch\",\"owner\":\"%s\","
+                                  "\"shape\":\"sweep\",\"urgency\":\"normal\",\"pieces\":4,\"cpus\":1,\"gpus\":0,\"ramGb\":1,"
+                                  "\"bundle\":\"img\",\"sizeGb\":0.5,\"samePlace\":false,\"spread\":false,\"loaners\":true,"
+                                  "\"expectS\":4,\"snapshotEveryS\":0,\"snapshotS\":0}}",
+                                  i ? "," : "", job->uid, i, job->uid, job->team);
+          /* tasks 0 and 1 are done, all were released */
+          g_string_append_printf (progress, "%s\"%s/0\":{\"released\":4,\"team\":\"%s\",\"cpus\":1,\"gpus\":0,\"done\":\"Aw==\"}",
+                                  i ? "," : "", job->uid, job->team);
+        }
+      for (guint i = 0; i < 30; i++)
+        g_string_append_printf (machines, "%s\"i-9%05u\":{\"addr\":\"10.1.0.1:1\",\"type\":\"small\",\"zone\":\"za\",\"spot\":true,\"at\":5}",
+                                i ? "," : "", i);
+      g_string_append (accepted, "}");
+      g_string_append (progress, "}");
+      g_string_append (machines, "}");
+      world_put_record (w, "hzb/a/accepted/main/node-0-00000001-1", accepted->str);
+      world_put_record (w, "hzb/a/term", "{\"term\":3,\"node\":\"node-0\"}");
+      world_put_record (w, "hzb/x/flush", "{\"n\":17}");
+      world_put_record (w, "hzb/x/machines/000002", machines->str);
+      world_put_record (w, "hzb/x/progress/main/000001", progress->str);
+      g_assert_cmpuint (world_largest_record (w, "hzb/x/progress/"), >, 2048);
+      g_assert_cmpuint (world_largest_record (w, "hzb/x/machines/"), >, 2048);
+      w->most_value = 2048;
+      w->most_changes = 8;
+      w->nodes[1].old = seed % 2;
+      start_all (w, NULL);
+      for (guint i = 0; i < w->jobs->len; i++)
+        {
+          WorldJob *job = w->jobs->pdata[i];
+          job->submit_at = 0;
+          job->answered_at = 1;
+        }
+      if (seed >= 452)
+        world_at (w, 4.5, crash_all, NULL); /* in the midst of it */
+      world_run (w, 60);
+      g_assert_cmpuint (world_largest_record (w, "hzb/x/progress/"), <=, 2048);
+      g_assert_cmpuint (world_largest_record (w, "hzb/x/machines/"), <=, 2048);
+      world_run (w, 400);
+      for (guint i = 0; i < w->jobs->len; i++)
+        {
+          WorldJob *job = w->jobs->pdata[i];
+          const HzbJob *known = hzb_jobs_find (w->nodes[0].c->jobs, job->uid);
+          g_assert_cmpint (known->state, ==, HZB_JOB_DONE);
+        }
+      g_assert_cmpuint (w->started, <=, 80 + 40); /* what was done is not done again; a crash may lose a start */
+      expect_no_fault (w, "large records", seed);
+      world_free (w);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_log_set_always_fatal (G_LOG_LEVEL_ERROR);
+  g_test_add_func ("/world/service", test_service);
+  g_test_add_func ("/world/service-preempts", test_service_preempts);
+  g_test_add_func ("/world/odd-requests", test_odd_requests);
+  g_test_add_func ("/world/rollout", test_rollout);
+  g_test_add_func ("/world/rollout-and-troubles", test_rollout_and_troubles);
+  g_test_add_func ("/world/large-records", test_large_records);
+  return g_test_run ();
+}
--- a/tests/world.c
+++ b/tests/world.c
@@ -298,6 +298,21 @@
       cJSON_Delete (failed);
       return 429;
     }
+  if (w->most_changes && changes > w->most_changes)
+    {
+      broken (w, "too_large", "%u changes in a transaction", changes);
+      status = 400;
+    }
+  cJSON_ArrayForEach (item, cJSON_GetObjectItem (txn, "then"))
+    {
+      char *value = cJSON_PrintUnformatted (cJSON_GetObjectItem (item, "value"));
+      if (w->most_value && value && strlen (value) > w->most_value)
+        {
+          broken (w, "too_large", "%s has %u bytes", hzb_json_text (item, "put"), (guint) strlen (value));
+          status = 400;
+        }
+      cJSON_free (value);
+    }
   w->write_budget -= changes;
   w->written += changes;
   cJSON_ArrayForEach (item, cJSON_GetObjectItem (txn, "when"))
@@ -336,6 +351,26 @@
   return status;
 }
 
+void
+world_put_record (World *w, const char *key, const char *text)
+{
+  w->revision++;
+  record (w, key, text, 0);
+}
+
+guint
+world_largest_record (World *w, const char *prefix)
+{
+  GHashTableIter iter;
+  gpointer key, value;
+  gsize most = 0;
+  g_hash_table_iter_init (&iter, w->kv);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    if (g_str_has_prefix (key, prefix))
+      most = MAX (most, strlen (((Value *) value)->text));
+  return (guint) most;
+}
+
 static char *
 query (const char *path, const char *name)
 {
@@ -514,11 +549,30 @@
 
 static void cloud_request (World *w, Call *call);
 
+/* What a process of version 1 never said. */
+static char *
+as_version_1 (const char *body)
+{
+  cJSON *root = cJSON_Parse (body ? body : "");
+  char *text;
+  cJSON_DeleteItemFromObject (root, "format");
+  cJSON_DeleteItemFromObject (root, "cancelled");
+  cJSON_DeleteItemFromObject (root, "heard");
+  text = cJSON_PrintUnformatted (root);
+  cJSON_Delete (root);
+  return text;
+}
+
 static void
 peer_reply (HzbExchange *exchange, guint status, const char *body, guint retry)
 {
   gpointer *pair = exchange->impl;
-  answer (pair[0], pair[1], status, g_strdup (body));
+  {
+    World *w = pair[0];
+    Call *call = pair[1];
+    gboolean old = w->nodes[call->addr[7] - '1'].old;
+    answer (w, call, status, old ? as_version_1 (body) : g_strdup (body));
+  }
   g_free (pair);
 }
 
@@ -621,6 +675,11 @@
   call->addr = g_strdup (addr);
   call->path = g_strdup (path);
   call->body = body;
+  if (w->nodes[from->at].old && !g_str_has_prefix (addr, "10.9."))
+    {
+      call->body = as_version_1 (body);
+      g_free (body);
+    }
   call->done = done;
   call->user = user;
   call->refs = 1;
@@ -817,6 +876,23 @@
   return task;
 }
 
+/* spread: at most half of the tasks, rounded up, in one zone; the one just put there is counted. */
+static gboolean
+zone_has_place (World *w, const WorldJob *job, const WorldMachine *m)
+{
+  guint here = 0;
+  for (guint i = 0; i < w->machines->len; i++)
+    {
+      const WorldMachine *other = w->machines->pdata[i];
+      for (guint k = 0; k < other->tasks->len && !other->gone; k++)
+        {
+          const WorldTask *task = other->tasks->pdata[k];
+          here += task->state < 4 && g_str_equal (task->uid, job->uid) && g_str_equal (other->zone, m->zone);
+        }
+    }
+  return here <= (job->n + 1) / 2;
+}
+
 void
 world_start_task (World *w, WorldMachine *m, const char *piece, guint64 attempt)
 {
@@ -850,6 +926,8 @@
     end_task (task, "full");
   else if (job->spot == FALSE && m->spot)
     broken (w, "wrong_place", "%s on a spot machine", piece);
+  else if (job->spread && !zone_has_place (w, job, m))
+    broken (w, "wrong_place", "%s: too many in %s", piece, m->zone);
   else if ((job->zone && !g_str_equal (job->zone, m->zone)) || (job->type && !g_str_equal (job->type, m->type)))
     broken (w, "wrong_place", "%s on %s in %s", piece, m->type, m->zone);
 }
@@ -1092,7 +1170,7 @@
       else if (task->state == 2 && w->now >= task->end_at)
         {
           end_task (task, "done");
-          job->finished[task->task] = 1;
+          job->finished[task->task] = !job->service;
           w->ran++;
         }
       else
@@ -1131,6 +1209,8 @@
   if (status == 200 || status == 201)
     {
       gboolean done = g_strcmp0 (state, "done") == 0, cancelled = g_strcmp0 (state, "cancelled") == 0;
+      if (!job->accepted)
+        job->accepted_at = w->now;
       job->accepted = TRUE;
       if (!job->submitted)
         broken (w, "invented", "%s", job->uid);
@@ -1144,7 +1224,10 @@
       job->told_cancelled = job->told_cancelled || cancelled;
     }
   else if (status == 503 || status == 429)
-    return;
+    {
+      w->refused_services += job->service && !job->accepted;
+      return;
+    }
   else if (job->accepted && (status == 404 || status == 400 || status == 422))
     broken (w, "forgotten", "%s got %u", job->uid, status);
 }
@@ -1196,9 +1279,10 @@
       exchange->body = g_strdup_printf (
           "{\"uid\":\"%s\",\"lane\":\"%s\",\"owner\":\"%s\",\"shape\":\"%s\",\"urgency\":\"%s\",\"pieces\":%u,"
           "\"cpus\":%g,\"gpus\":0,\"ramGb\":1,\"bundle\":\"img\",\"sizeGb\":0.5,\"flavors\":%s,\"yard\":%s,"
-          "\"samePlace\":false,\"spread\":false,\"loaners\":%s,\"expectS\":%g,\"snapshotEveryS\":0,\"snapshotS\":0}",
-          job->uid, job->lane, job->team, job->gang ? "ensemble" : "sweep", g_str_equal (job->lane, "pressing") ? "urgent" : "normal", job->n, job->cpus,
-          types, zone, job->spot ? "true" : "false", job->run_s);
+          "\"samePlace\":false,\"spread\":%s,\"loaners\":%s,\"expectS\":%g,\"snapshotEveryS\":0,\"snapshotS\":0}",
+          job->uid, job->lane, job->team, job->gang ? "ensemble" : job->service ? "standing" : "sweep",
+          job->service ? "production" : g_str_equal (job->lane, "pressing") ? "urgent" : "normal", job->n, job->cpus,
+          types, zone, job->spread ? "true" : "false", job->spot ? "true" : "false", job->service ? 0 : job->run_s);
       job->submitted = TRUE;
     }
   else
@@ -1216,7 +1300,7 @@
   UserCall *call = g_new0 (UserCall, 1);
   call->job = job;
   call->what = !job->accepted                                                        ? USER_SUBMITS
-               : job->wants_cancel && !job->told_cancelled && w->now > job->submit_at + 8
+               : job->wants_cancel && !job->told_cancelled && w->now > (job->cancel_at > 0 ? job->cancel_at : job->submit_at + 8)
                          && !(job->polls_only && job->asked_cancel)
                    ? USER_CANCELS
                : chance (w, 0.1)                                                     ? USER_SUBMITS
@@ -1350,6 +1434,32 @@
     }
 }
 
+/* The plain count of what services are asked for: replica time, and how much of it was served. */
+static void
+count_replicas (World *w)
+{
+  double step = w->now - w->counted_at;
+  w->counted_at = w->now;
+  for (guint i = 0; i < w->jobs->len; i++)
+    {
+      WorldJob *job = w->jobs->pdata[i];
+      guint running = 0;
+      if (!job->service || !job->accepted || job->asked_cancel || w->now < job->accepted_at + 10)
+        continue;
+      for (guint k = 0; k < w->machines->len; k++)
+        {
+          const WorldMachine *m = w->machines->pdata[k];
+          for (guint t = 0; t < m->tasks->len && !m->gone && !m->failed && !m->hung; t++)
+            {
+              const WorldTask *task = m->tasks->pdata[t];
+              running += task->state == 2 && g_str_equal (task->uid, job->uid);
+            }
+        }
+      job->wanted_s += job->n * step;
+      job->missed_s += (job->n - MIN (running, job->n)) * step;
+    }
+}
+
 void
 world_check (World *w)
 {
@@ -1383,6 +1493,7 @@
             broken (w, "quota", "%s uses %g", job->team, *used);
         }
     }
+  count_replicas (w);
   if (w->calm_at > 0 && w->now >= w->calm_at && w->now >= w->next_wait_check)
     {
       check_waiting (w, teams);
@@ -1423,7 +1534,7 @@
                           "[external]\ncloud = \"10.9.0.2:1\"\nstate = \"10.9.0.1:1\"\n[cluster]\nsize = 3\n"
                           "zones = [\"za\", \"zb\"]\nskew_ms = 5\n"
                           "[cluster.workers]\nreport_s = %g\nlease_s = %g\ngang_wait_s = 20\ngang_peer_s = 4\ncancel_s = %g\n"
-                          "[cluster.state]\nrps = %g\nwrite_rps = %g\nvalue_kb = 16\ntxn_ops = %u\n"
+                          "[cluster.state]\nrps = %g\nwrite_rps = %g\nvalue_kb = 16\ntxn_ops = %u\n[cluster.state.next]\nvalue_kb = 2\n"
                           "[cluster.cloud]\nrps = %g\nlist_lag_s = 3\n",
                           w->size.report_s, w->size.lease_s, w->size.cancel_s, w->size.store_rps, w->size.store_write_rps,
                           w->size.txn_ops, w->size.cloud_rps);
@@ -1443,6 +1554,8 @@
   node->transport->at = at;
   node->transport->life = node->life;
   node->c = hzb_controller_new (settings, w->clock, &node->transport->parent, g_rand_int (w->rand));
+  if (node->old)
+    node->c->format = 1;
   if (w->size.keep_ended)
     node->c->jobs->keep_ended = w->size.keep_ended;
 }
--- a/tests/world.h
+++ b/tests/world.h
@@ -21,6 +21,7 @@
   NodeTransport *transport;
   guint life;
   gboolean cut_store, cut_peers, cut_workers, refused;
+  gboolean old; /* says and answers nothing that version 1 did not */
   gboolean stands;  /* still, while its clock runs on; what comes meanwhile it takes up on waking */
   GPtrArray *late;  /* what came */
 } Node;
@@ -57,7 +58,11 @@
   guint n;
   double cpus, run_s;
   const char *zone, *type;
-  gboolean spot, bad, gang;
+  gboolean spot, bad, gang, spread;
+  gboolean service;  /* its tasks are replicas: when one ends, it is not done */
+  double cancel_at;  /* its user wants to cancel it from then on; 0: 8 s after its submission */
+  double missed_s;   /* replica time not served, and all there was, from 10 s after its acceptance */
+  double wanted_s, accepted_at;
   gboolean wants_cancel, submitted, accepted, told_done, told_cancelled, asked_cancel;
   gboolean polls_only; /* its user has asked once to cancel it, and then asks how it stands */
   double submit_at, cancelled_at, answered_at, began_at;
@@ -93,6 +98,8 @@
   GPtrArray *history, *watchers;
   guint64 revision, lease_number;
   gboolean outage;
+  guint most_value, most_changes; /* bytes, and in a transaction: more gets 400; 0: without limit */
+  guint refused_services;         /* submissions answered 503 */
   double write_rate, write_budget, write_filled; /* changes a second; 0: without limit */
   guint written;                                 /* changes so far */
   /* cloud */
@@ -107,7 +114,7 @@
   GPtrArray *broken; /* rules broken, as texts */
   guint started, ran;
   WorldSize size;
-  double next_check, next_wait_check;
+  double next_check, next_wait_check, counted_at;
   double calm_at; /* all troubles are over; 0: nobody said */
   GHashTable *by_uid;           /* WorldJob */
   guint requests, rows_read;    /* of the state service */
@@ -127,6 +134,8 @@
 void world_start_task (World *w, WorldMachine *m, const char *piece, guint64 attempt); /* as an order does */
 void world_told (World *w, WorldJob *job, guint status, const char *state);            /* an answer to its user */
 void world_check (World *w);
+void world_put_record (World *w, const char *key, const char *text); /* as somebody wrote it before */
+guint world_largest_record (World *w, const char *prefix);           /* bytes; 0: there is none */
 void world_check_end (World *w); /* nothing forgotten, no one starved */
 guint world_unfinished (World *w);
 int world_leader (World *w); /* -1: none */
