--- a/tests/test-meetings.c
+++ b/tests/test-meetings.c
@@ -134,6 +134,99 @@
     }
 }
 
+static int
+a_lessee (World *w)
+{
+  for (guint i = 0; i < WORLD_NODES; i++)
+    if (w->nodes[i].c && w->nodes[i].c->hold == HZB_HOLD_LEASED && w->nodes[i].c->machines->all->len >= 1)
+      return (int) i;
+  return -1;
+}
+
+static void
+short_tasks (World *w)
+{
+  for (guint i = 0; i < 8; i++)
+    world_add_job (w, 1 + 0.2 * i, i % 2 ? "red" : "blue", 40, 1, 10)->type = "small";
+}
+
+/* Of a job that is called cancelled nobody holds tasks without knowing that, for so long from now. */
+static void
+watch_holders (World *w, double seconds)
+{
+  for (double until = w->now + seconds; w->now < until; world_run (w, w->now + 0.02))
+    for (guint i = 0; i < w->jobs->len; i++)
+      for (guint node = 0; node < WORLD_NODES; node++)
+        {
+          const WorldJob *job = w->jobs->pdata[i];
+          HzbController *c = w->nodes[node].c;
+          const HzbJob *known = c && job->told_cancelled && c->hold != HZB_HOLD_NONE ? hzb_jobs_find (c->jobs, job->uid) : NULL;
+          if (known && known->tasks && known->state == HZB_JOB_ACCEPTED && known->pending + known->listed + known->placed)
+            g_error ("%s is called cancelled, and node-%u holds %u tasks of it at %.2f", job->uid, node,
+                     known->pending + known->listed + known->placed, w->now);
+        }
+}
+
+static void
+cancel_all (World *w)
+{
+  for (guint i = 0; i < w->jobs->len; i++)
+    ((WorldJob *) w->jobs->pdata[i])->wants_cancel = TRUE;
+}
+
+/* A lessee that the state service refuses does not see the cancellation: nobody is told before the leader has told it,
+ * and so nothing starts afterwards. */
+static void
+test_lessee_unaware (void)
+{
+  guint told = 0;
+  for (guint32 seed = 230; seed < 242; seed++)
+    {
+      World *w = world_new (seed);
+      int lessee;
+      short_tasks (w);
+      while ((lessee = a_lessee (w)) < 0 && w->now < 40)
+        world_run (w, w->now + 0.5);
+      g_assert_cmpint (lessee, !=, -1);
+      w->nodes[lessee].refused = TRUE;
+      world_run (w, w->now + 0.3);
+      cancel_all (w);
+      watch_holders (w, 5);
+      told += told_cancelled (w);
+      heal (w, NULL);
+      world_run (w, w->now + 200);
+      expect_all_over (w, "lessee unaware", seed);
+      world_free (w);
+    }
+  g_assert_cmpuint (told, >, 24); /* of 96, some of which are done before */
+}
+
+/* The leader ends, and a lessee that nobody reaches goes on for a while: what the next leader can't rule out there is
+ * not called cancelled yet. */
+static void
+test_lessee_left_alone (void)
+{
+  for (guint32 seed = 242; seed < 254; seed++)
+    {
+      World *w = world_new (seed);
+      int lessee, leader;
+      short_tasks (w);
+      while ((lessee = a_lessee (w)) < 0 && w->now < 40)
+        world_run (w, w->now + 0.5);
+      g_assert_cmpint (lessee, !=, -1);
+      leader = world_leader (w);
+      w->nodes[lessee].refused = w->nodes[lessee].cut_peers = TRUE;
+      world_crash (w, (guint) leader);
+      cancel_all (w);
+      watch_holders (w, 15);
+      heal (w, NULL);
+      start_all (w, NULL);
+      world_run (w, w->now + 200);
+      expect_all_over (w, "lessee left alone", seed);
+      world_free (w);
+    }
+}
+
 /* ---- any two or three of the list, within seconds of each other ---- */
 
 static void
@@ -197,6 +290,14 @@
     ((WorldMachine *) w->machines->pdata[i])->hung = g_rand_int_range (w->rand, 0, 3) == 0;
 }
 
+static void
+start_one (World *w, gpointer data)
+{
+  guint at = (guint) g_rand_int_range (w->rand, 0, WORLD_NODES);
+  if (!w->nodes[at].c)
+    world_start (w, at);
+}
+
 static void
 crash_leader (World *w, gpointer data)
 {
@@ -216,6 +317,16 @@
     world_at (w, w->now + g_rand_double_range (w->rand, 5, 12), crash_leader_again, GUINT_TO_POINTER (left - 1));
 }
 
+static void
+all_away (World *w, gpointer data)
+{
+  for (guint i = 0; i < WORLD_NODES; i++)
+    world_crash (w, i);
+  /* Longer than a lease; one is back first. */
+  world_at (w, w->now + g_rand_double_range (w->rand, 11, 16), start_one, NULL);
+  world_at (w, w->now + g_rand_double_range (w->rand, 17, 22), start_all, NULL);
+}
+
 static void
 leaders_change (World *w, gpointer data)
 {
@@ -251,6 +362,7 @@
 static void (*const troubles[]) (World *w, gpointer data) = {
   cut_off_leader, refuse_leader, begin_outage, late_writes,   late_reports,    slow_links,     deafen_some, mute_some,
   cancel_some,    crash_leader,  crash_all,    leaders_change, cancel_and_hang, cut_zone,       crash_one,   cut_leader,
+  all_away,
 };
 
 static void
@@ -288,6 +400,8 @@
   g_log_set_always_fatal (G_LOG_LEVEL_ERROR);
   g_test_add_func ("/world/gap", test_gap);
   g_test_add_func ("/world/told-at-once", test_told_at_once);
+  g_test_add_func ("/world/lessee-unaware", test_lessee_unaware);
+  g_test_add_func ("/world/lessee-left-alone", test_lessee_left_alone);
   g_test_add_func ("/world/any-two", test_any_two);
   return g_test_run ();
 }
