--- a/src/controller.c
+++ b/src/controller.c
@@ -517,8 +517,9 @@
 /* ---- standing ---- */
 
 /* Guards against a leader that only the workers can't reach: they are sent back to it by all others, until every
- * lease is over and all work is lost. That all machines should fall silent together for any other reason is rare,
- * and then a change of leader costs little. */
+ * lease is over and all work is lost. That all machines fall silent together for any other reason is rare, and then a change
+ * of leader costs little. In a small fleet it does happen, again and again, and each leader would have to wait for their
+ * leases: so after one change for this reason others must have sent workers here lately. */
 static gboolean
 hears_nobody (HzbController *c)
 {
@@ -536,7 +537,7 @@
         return FALSE;
       n += m->confirmed;
     }
-  return n >= 3;
+  return n >= 3 && (!hzb_peers_any_lost_workers (c->peers) || hzb_peers_any_sends_workers (c->peers));
 }
 
 /* In an outage of the state service for all, a holder goes on answering workers, so that their leases live.
@@ -548,6 +549,7 @@
 
   if (hzb_election_leading (c->election) && silence < 2.5 && hzb_peers_any_heard (c->peers) && c->settings->peers->len && hears_nobody (c))
     {
+      c->lost_workers = hzb_clock_now (c->clock);
       hzb_election_step_down (c->election, "no worker is heard any more, while all else can be reached");
       hzb_election_stand_back (c->election, 20);
       return;
--- a/src/controller.h
+++ b/src/controller.h
@@ -81,6 +81,8 @@
   guint64 hold_epoch; /* told apart: answers to an earlier holding are dropped */
   char *hold_after;
   struct timespec last_tick; /* the timer's */
+  struct timespec lost_workers; /* when this node last gave way because it heard no worker */
+  struct timespec redirected; /* when a worker was last sent to the leader from here */
   struct timespec hold_since, next_plan, next_dispatch, next_summary;
 } HzbController;
 
@@ -129,6 +131,8 @@
 void hzb_peers_free (HzbPeers *peers);
 void hzb_peers_tick (HzbPeers *peers, struct timespec now);
 gboolean hzb_peers_any_heard (HzbPeers *peers);  /* lately; or there are none */
+gboolean hzb_peers_any_sends_workers (HzbPeers *peers); /* to the leader, lately */
+gboolean hzb_peers_any_lost_workers (HzbPeers *peers);  /* and gave way for it; this node too */
 gboolean hzb_peers_any_served (HzbPeers *peers); /* by the state service: an outage is ours alone */
 gboolean hzb_peers_silent (HzbPeers *peers, const char *node); /* not heard lately; or nobody of that name */
 guint hzb_peers_format (HzbPeers *peers, const char *node);    /* that it last said; 1: it said none, or is silent */
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -265,6 +265,7 @@
 static void
 redirect (HzbController *c, HzbExchange *exchange)
 {
+  c->redirected = hzb_clock_now (c->clock);
   hzb_exchange_reply (exchange, 421, hzb_wire_redirect (hzb_election_leader (c->election)), 0);
 }
 
--- a/src/lease.c
+++ b/src/lease.c
@@ -241,11 +241,36 @@
   return best;
 }
 
+/* Such a job may run in any block. Where all tasks have to be looked at together, or none may wait, the leader's it is. */
+static gboolean
+grantable (const HzbJob *job)
+{
+  const HzbSpec *spec = job->spec;
+  return job->state == HZB_JOB_ACCEPTED && !spec->gang && !spec->service && !spec->same_zone && !spec->spread;
+}
+
+/* Guards against machines that stand idle in other blocks while the only work that waits is bound to the leader's. */
+static gboolean
+only_own_work_waits (HzbController *c)
+{
+  gboolean any = FALSE;
+  for (guint i = 0; i < c->jobs->active->len; i++)
+    {
+      const HzbJob *job = c->jobs->active->pdata[i];
+      if (job->state != HZB_JOB_ACCEPTED || !(job->pending || job->listed))
+        continue;
+      if (grantable (job))
+        return FALSE;
+      any = TRUE;
+    }
+  return any;
+}
+
 static gboolean
 may_lend (HzbController *c, const HzbMachine *machine)
 {
   return c->lease_blocks && machine->type && !machine->wanted_back && !machine->spare && !machine->kept && !machine->deaf && machine->vouched
-         && c->hold >= HZB_HOLD_RECOVERING && !gang_waits (c);
+         && c->hold >= HZB_HOLD_RECOVERING && !gang_waits (c) && !only_own_work_waits (c);
 }
 
 static void
@@ -449,8 +474,7 @@
   for (guint i = 0; i < c->jobs->active->len; i++)
     {
       HzbJob *job = c->jobs->active->pdata[i];
-      if (job->state == HZB_JOB_ACCEPTED && (job->pending || job->listed) && !job->failures && !job->spec->gang
-          && !job->spec->service && !job->spec->same_zone && !job->spec->spread && !hzb_time_before (now, job->not_before))
+      if (grantable (job) && (job->pending || job->listed) && !job->failures && !hzb_time_before (now, job->not_before))
         g_ptr_array_add (order, job);
     }
   g_ptr_array_sort (order, hzb_dispatch_order);
--- a/src/peers.c
+++ b/src/peers.c
@@ -8,6 +8,8 @@
 
 #define MOST_RETIRED 64u
 #define MOST_SHOWN 1000u /* jobs whose counts go with a word: some 35 bytes each */
+#define REDIRECTS_S 3.0
+#define LOST_WORKERS_S 120.0
 #define BORN_SLACK_MS 1000u /* times of day differ a little */
 
 typedef struct
@@ -18,6 +20,8 @@
   double store_silence;
   guint64 term;
   gboolean leads;
+  gboolean sends_workers; /* to the leader, lately */
+  gboolean lost_workers;  /* and gave way for that, not long ago */
   gboolean told_old;
   guint format; /* of records and messages, as it last said */
   /* by what it sent of its own accord */
@@ -83,6 +87,33 @@
   return FALSE;
 }
 
+static gboolean
+lost_workers (const HzbController *c)
+{
+  return hzb_time_is_set (c->lost_workers) && hzb_time_between (c->lost_workers, hzb_clock_now (c->clock)) < LOST_WORKERS_S;
+}
+
+gboolean
+hzb_peers_any_lost_workers (HzbPeers *peers)
+{
+  gboolean any = lost_workers (peers->c);
+  for (guint i = 0; i < peers->views->len && !any; i++)
+    any = g_array_index (peers->views, View, i).lost_workers;
+  return any;
+}
+
+gboolean
+hzb_peers_any_sends_workers (HzbPeers *peers)
+{
+  for (guint i = 0; i < peers->views->len; i++)
+    {
+      const View *view = &g_array_index (peers->views, View, i);
+      if (silence (peers, view) < 3 && view->sends_workers)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 gboolean
 hzb_peers_any_heard (HzbPeers *peers)
 {
@@ -209,6 +240,9 @@
   cJSON_AddBoolToObject (root, "leads", hzb_election_leading (c->election));
   /* Also what others told: a holder may reach only nodes that the state service does not reach either. */
   hzb_json_add_u64 (root, "term", MAX (hzb_election_leader_term (c->election), peers->heard_term));
+  cJSON_AddBoolToObject (root, "sendsWorkers", hzb_time_is_set (c->redirected)
+                                                   && hzb_time_between (c->redirected, hzb_clock_now (c->clock)) < REDIRECTS_S);
+  cJSON_AddBoolToObject (root, "lostWorkers", lost_workers (c));
   cJSON_AddNumberToObject (root, "storeSilenceS", MIN (hzb_store_silence (c->store), 1e6));
   if (c->hold >= HZB_HOLD_RECOVERING)
     {
@@ -231,6 +265,8 @@
   view->heard = hzb_clock_now (c->clock);
   view->store_silence = hzb_json_number (root, "storeSilenceS", 1e6);
   view->term = hzb_json_u64 (root, "term");
+  view->sends_workers = !cJSON_IsFalse (cJSON_GetObjectItemCaseSensitive (root, "sendsWorkers")); /* version 1 doesn't say */
+  view->lost_workers = cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (root, "lostWorkers"));
   view->format = (guint) hzb_json_number (root, "format", 1);
   view->leads = cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (root, "leads"));
   if (view->leads)
--- a/tests/test-leases.c
+++ b/tests/test-leases.c
@@ -181,6 +181,26 @@
     }
 }
 
+/* Work that only the leader's block may have waits: machines are not lent, to stand idle elsewhere. */
+static void
+test_own_work (void)
+{
+  World *w = world_new (74);
+  for (guint i = 0; i < 8; i++)
+    world_add_job (w, 1 + 0.2 * i, i % 2 ? "red" : "blue", 4, 3, 25)->spread = TRUE;
+  for (guint k = 0; k < 12; k++)
+    {
+      HzbController *c;
+      world_run (w, w->now + 2);
+      c = w->nodes[MAX (world_leader (w), 0)].c;
+      for (guint i = 0; i < c->machines->all->len; i++)
+        g_assert_cmpint (((HzbMachine *) c->machines->all->pdata[i])->state, !=, HZB_MACHINE_LENT);
+    }
+  world_run (w, 400);
+  expect_all_over (w, "own work", 74);
+  world_free (w);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -190,6 +210,7 @@
   g_test_add_func ("/world/lessee-cut-off", test_lessee_cut_off);
   g_test_add_func ("/world/leader-of-lessees-ends", test_leader_of_lessees_ends);
   g_test_add_func ("/world/hand-over", test_hand_over);
+  g_test_add_func ("/world/own-work", test_own_work);
   g_test_add_func ("/world/leases-and-failures", test_leases_and_failures);
   return g_test_run ();
 }
--- a/tests/test-world.c
+++ b/tests/test-world.c
@@ -391,6 +391,32 @@
   world_free (w);
 }
 
+/* All machines of a small fleet hang, again and again: the lead passes on once for that, not every time. */
+static void
+test_machines_hang (void)
+{
+  World *w = world_new (58);
+  guint64 term;
+  for (guint i = 0; i < 4; i++)
+    world_add_job (w, 1, i % 2 ? "red" : "blue", 6, 3, 60)->type = "small";
+  world_run (w, 25);
+  term = hzb_election_term (w->nodes[world_leader (w)].c->election);
+  for (guint k = 0; k < 4; k++)
+    {
+      for (guint i = 0; i < w->machines->len; i++)
+        ((WorldMachine *) w->machines->pdata[i])->hung = TRUE;
+      world_run (w, w->now + 9);
+      for (guint i = 0; i < w->machines->len; i++)
+        ((WorldMachine *) w->machines->pdata[i])->hung = FALSE;
+      world_run (w, w->now + 9);
+    }
+  g_assert_cmpint (world_leader (w), !=, -1);
+  g_assert_cmpuint (hzb_election_term (w->nodes[world_leader (w)].c->election), <=, term + 1);
+  world_run (w, 600);
+  expect_all_over (w, "machines hang", 58);
+  world_free (w);
+}
+
 /* Operators: settings are checked, refused when another has changed them, and apply on all nodes; a machine is
  * drained, also by a later leader. */
 static void
@@ -547,6 +573,7 @@
   g_test_add_func ("/world/back-at-once", test_back_at_once);
   g_test_add_func ("/world/earlier-process", test_earlier_process);
   g_test_add_func ("/world/leader-loses-workers", test_leader_loses_workers);
+  g_test_add_func ("/world/machines-hang", test_machines_hang);
   g_test_add_func ("/world/administration", test_administration);
   return g_test_run ();
 }
