--- a/src/jobs.c
+++ b/src/jobs.c
@@ -19,7 +19,8 @@
   job->cursor = job->pending = job->listed = job->unknown = job->placed = job->running = 0;
   job->finished = job->done = job->released = job->releasing = 0;
   job->dirty = job->ending = job->on_pages = job->unsplit = job->wants_release = job->told_lessees = FALSE;
-  job->failures = 0;
+  job->failures = job->begun = 0;
+  job->waits_since = (struct timespec){ 0 };
 }
 
 static void
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -102,6 +102,8 @@
   guint64 next_attempt;
   guint failures; /* in a row, without a task of the job doing well */
   struct timespec not_before, since;
+  guint begun; /* tasks, when it was last looked at: nothing more of it has begun since: */
+  struct timespec waits_since;
   double mean_s; /* the best guess of a task's run time, kept by hzb_dispatch_classes(); 0: the owner's */
 };
 
--- a/src/keep.c
+++ b/src/keep.c
@@ -2,6 +2,8 @@
 
 #include <math.h>
 
+#define OTHERS_WAIT_S 45.0
+
 /* A machine that may be kept for such replicas: one that the cloud doesn't take back. */
 static gboolean
 suits (const HzbMachine *m, const HzbSpec *spec, const char *zone)
@@ -104,6 +106,29 @@
   return keep;
 }
 
+/* Guards against kept room that stands empty while other work waits and waits: replicas can have it stopped. */
+static const HzbJob *
+waits_long (HzbJobs *jobs)
+{
+  struct timespec now = hzb_clock_now (jobs->clock);
+  const HzbJob *found = NULL;
+
+  for (guint i = 0; i < jobs->active->len; i++)
+    {
+      HzbJob *job = jobs->active->pdata[i];
+      guint begun = job->placed + job->finished + job->done;
+      if (!job->spec || job->spec->service || job->state != HZB_JOB_ACCEPTED)
+        continue;
+      if (!(job->pending || job->listed) || begun > job->begun || !hzb_time_is_set (job->waits_since)
+          || !hzb_block_fits (jobs->block, job->team, job->spec->cpus, job->spec->gpus))
+        job->waits_since = now;
+      else if (hzb_time_between (job->waits_since, now) > OTHERS_WAIT_S)
+        found = job;
+      job->begun = begun;
+    }
+  return found;
+}
+
 /* The one that can serve soonest: ours, with replicas already, and with the least other work to wait for. One that still
  * boots is kept from the start, or it would be lent as soon as it is up. */
 static HzbMachine *
@@ -126,16 +151,18 @@
 void
 hzb_keep_mark (const HzbKeep *keep, HzbJobs *jobs, HzbMachines *machines)
 {
+  const HzbJob *waiting = keep->spec ? waits_long (jobs) : NULL;
+
   for (guint i = 0; i < machines->all->len; i++)
     {
       HzbMachine *m = machines->all->pdata[i];
       gboolean zone = FALSE;
       for (guint z = 0; z < keep->n_zones; z++)
         zone = zone || g_str_equal (m->zone, keep->zones[z].zone);
-      if (m->kept && (!keep->spec || !suits (m, keep->spec, NULL) || (!zone && m->service_cpus <= 0)))
+      if (m->kept && (!keep->spec || waiting || !suits (m, keep->spec, NULL) || (!zone && m->service_cpus <= 0)))
         m->kept = FALSE;
     }
-  for (guint z = 0; z < keep->n_zones; z++)
+  for (guint z = 0; z < keep->n_zones && !waiting; z++)
     {
       double free = 0, want = keep->zones[z].free + keep->zones[z].waiting;
       HzbMachine *m;
--- a/src/settings.c
+++ b/src/settings.c
@@ -105,7 +105,7 @@
   s->store_rps = MIN (s->store_rps, number_at (next, "cluster.state.next", "rps", 1, s->store_rps, faults));
   s->store_write_rps = MIN (s->store_write_rps, number_at (next, "cluster.state.next", "write_rps", 1, s->store_write_rps, faults));
   s->store_value_kb = MIN (s->store_value_kb, number_at (next, "cluster.state.next", "value_kb", 1, s->store_value_kb, faults));
-  s->store_txn_ops = MIN (s->store_txn_ops, (guint) number_at (next, "cluster.state.next", "txn_ops", 2, s->store_txn_ops, faults));
+  s->store_txn_ops = MIN (s->store_txn_ops, (guint) number_at (next, "cluster.state.next", "txn_ops", 3, s->store_txn_ops, faults));
 }
 
 static void
@@ -156,7 +156,7 @@
       s->store_rps = number_at (table, "cluster.state", "rps", 1, NAN, faults);
       s->store_write_rps = number_at (table, "cluster.state", "write_rps", 1, NAN, faults);
       s->store_value_kb = number_at (table, "cluster.state", "value_kb", 1, NAN, faults);
-      s->store_txn_ops = (guint) number_at (table, "cluster.state", "txn_ops", 2, NAN, faults);
+      s->store_txn_ops = (guint) number_at (table, "cluster.state", "txn_ops", 3, NAN, faults);
       read_next_limits (s, table, faults);
     }
   if ((table = table_at (cluster, "cluster", "cloud", faults)))
--- a/tests/test-upgrade.c
+++ b/tests/test-upgrade.c
@@ -67,6 +67,25 @@
   world_free (w);
 }
 
+/* Room that is kept for replicas does not stand empty while other work waits for long. */
+static void
+test_kept_room (void)
+{
+  World *w = world_new (412);
+  add_service (w, 2, "red", 2, 1, 260);
+  for (guint i = 0; i < 10; i++)
+    {
+      WorldJob *job = world_add_job (w, 8 + 0.1 * i, i % 2 ? "red" : "blue", 8, 2, 60);
+      job->spot = FALSE;
+      job->type = "big";
+    }
+  w->size.machines = 3;
+  w->calm_at = 20;
+  world_run (w, 900);
+  expect_all_over (w, "kept room", 412);
+  world_free (w);
+}
+
 static void
 answered (HzbExchange *exchange, guint status, const char *body, guint retry)
 {
@@ -330,6 +349,7 @@
   g_log_set_always_fatal (G_LOG_LEVEL_ERROR);
   g_test_add_func ("/world/service", test_service);
   g_test_add_func ("/world/service-preempts", test_service_preempts);
+  g_test_add_func ("/world/kept-room", test_kept_room);
   g_test_add_func ("/world/odd-requests", test_odd_requests);
   g_test_add_func ("/world/rollout", test_rollout);
   g_test_add_func ("/world/rollout-and-troubles", test_rollout_and_troubles);
