--- a/src/admin.c
+++ b/src/admin.c
@@ -174,7 +174,7 @@
 static cJSON *
 leadership (HzbController *c)
 {
-  cJSON *root = cJSON_CreateObject ();
+  cJSON *root = cJSON_CreateObject (), *formats;
   const char *leader = hzb_election_leader (c->election);
   cJSON_AddStringToObject (root, "node", c->settings->node);
   cJSON_AddBoolToObject (root, "leads", hzb_election_leading (c->election));
@@ -184,6 +184,18 @@
     cJSON_AddNullToObject (root, "leader");
   hzb_json_add_u64 (root, "term", hzb_election_leader_term (c->election));
   cJSON_AddNumberToObject (root, "stateServiceSilentS", MIN (hzb_store_silence (c->store), 1e6));
+  /* During an upgrade: 2 once every controller has said so, and what each says now. */
+  cJSON_AddNumberToObject (root, "format", hzb_election_format (c->election));
+  formats = cJSON_AddObjectToObject (root, "formats");
+  cJSON_AddNumberToObject (formats, c->settings->node, c->format);
+  for (guint i = 0; i < c->settings->peers->len; i++)
+    {
+      const char *node = ((HzbPeer *) c->settings->peers->pdata[i])->node;
+      if (hzb_peers_silent (c->peers, node))
+        cJSON_AddNullToObject (formats, node);
+      else
+        cJSON_AddNumberToObject (formats, node, hzb_peers_format (c->peers, node));
+    }
   return root;
 }
 
--- a/tests/test-meetings.c
+++ b/tests/test-meetings.c
@@ -314,7 +314,7 @@
   start_all (w, NULL);
   crash_leader (w, NULL);
   if (left)
-    world_at (w, w->now + g_rand_double_range (w->rand, 5, 12), crash_leader_again, GUINT_TO_POINTER (left - 1));
+    world_at (w, w->now + g_rand_double_range (w->rand, 3, 8), crash_leader_again, GUINT_TO_POINTER (left - 1));
 }
 
 static void
@@ -330,7 +330,7 @@
 static void
 leaders_change (World *w, gpointer data)
 {
-  crash_leader_again (w, GUINT_TO_POINTER (5));
+  crash_leader_again (w, GUINT_TO_POINTER (9)); /* ten times */
 }
 
 /* A zone with a controller: its workers reach that one only, which reaches nobody but the state service. */
@@ -384,8 +384,8 @@
       for (guint i = 0; i < n; i++)
         world_at (w, at + g_rand_double_range (w->rand, 0, 4), troubles[g_rand_int_range (w->rand, 0, G_N_ELEMENTS (troubles))], NULL);
       world_at (w, at + g_rand_double_range (w->rand, 4, 45), calm, NULL);
-      world_at (w, 110, calm, NULL);
-      world_run (w, 115);
+      world_at (w, 122, calm, NULL);
+      world_run (w, 125);
       w->calm_at = w->now;
       world_run (w, 600);
       expect_all_over (w, "any two", seed);
