--- a/src/controller.c
+++ b/src/controller.c
@@ -576,6 +576,9 @@
   hzb_store_pump (c->store);
   hzb_cloud_pump (c->cloud);
   mirror_step (c);
+  /* In a rollout the others are about to be replaced: whoever leads after them should be one that is not. */
+  hzb_election_press (c->election, c->format == HZB_FORMAT && hzb_election_format (c->election) < HZB_FORMAT
+                                       && hzb_peers_any_old (c->peers));
   hzb_election_tick (c->election, mirror_is_fresh (c));
   watch_own_standing (c);
   if (hzb_election_leading (c->election))
--- a/src/controller.h
+++ b/src/controller.h
@@ -137,6 +137,7 @@
 gboolean hzb_peers_silent (HzbPeers *peers, const char *node); /* not heard lately; or nobody of that name */
 guint hzb_peers_format (HzbPeers *peers, const char *node);    /* that it last said; 1: it said none, or is silent */
 gboolean hzb_peers_all_format (HzbPeers *peers, guint format); /* every other node has lately said so much */
+gboolean hzb_peers_any_old (HzbPeers *peers); /* one that is heard reads less than this process */
 gboolean hzb_peers_served_at (HzbPeers *peers, const char *node, struct timespec *at); /* by the state service */
 void hzb_peers_display (HzbPeers *peers, const char *uid, guint *done, guint *running);
 cJSON *hzb_peers_message (HzbPeers *peers, HzbPeerKind kind); /* says who sends it, and which one it is */
--- a/src/election.c
+++ b/src/election.c
@@ -16,7 +16,7 @@
   char *leader, *leader_incarnation; /* by the mirror */
   guint64 leader_lease, leader_term, leader_version;
   struct timespec next, asked, proven_until, renew_sent;
-  gboolean renewing, stands_back, raising;
+  gboolean renewing, stands_back, raising, presses;
   guint format;
 };
 
@@ -123,7 +123,7 @@
 static double
 jitter (HzbElection *e)
 {
-  return g_rand_double_range (e->rand, 0.05, 0.4);
+  return e->presses ? g_rand_double_range (e->rand, 0, 0.03) : g_rand_double_range (e->rand, 0.05, 0.4);
 }
 
 static void
@@ -164,6 +164,12 @@
     }
 }
 
+void
+hzb_election_press (HzbElection *e, gboolean press)
+{
+  e->presses = press;
+}
+
 void
 hzb_election_stand_back (HzbElection *e, double seconds)
 {
--- a/src/election.h
+++ b/src/election.h
@@ -27,6 +27,7 @@
 void hzb_election_item (HzbElection *election, const HzbItem *item); /* from the mirror */
 void hzb_election_tick (HzbElection *election, gboolean mirror_fresh);
 void hzb_election_step_down (HzbElection *election, const char *why);
+void hzb_election_press (HzbElection *election, gboolean press); /* try before others do */
 void hzb_election_stand_back (HzbElection *election, double seconds); /* let others try first */
 
 gboolean hzb_election_leading (HzbElection *election);
--- a/src/peers.c
+++ b/src/peers.c
@@ -154,6 +154,18 @@
   return TRUE;
 }
 
+gboolean
+hzb_peers_any_old (HzbPeers *peers)
+{
+  for (guint i = 0; i < peers->views->len; i++)
+    {
+      const View *view = &g_array_index (peers->views, View, i);
+      if (silence (peers, view) < 3 && view->format < peers->c->format)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 gboolean
 hzb_peers_served_at (HzbPeers *peers, const char *node, struct timespec *at)
 {
