--- a/tests/test-jobs.c
+++ b/tests/test-jobs.c
@@ -1,5 +1,7 @@
 #include "support.h"
 
+#include <math.h>
+
 /* A change that is not foreseen is refused, changes nothing, and is logged. */
 static void
 test_illegal (void)
@@ -84,6 +86,106 @@
     }
 }
 
+/* Room that replicas take, beside what else runs, against a plain count over seeded walks of two services and an array;
+ * and v, which is what fits into the rest. */
+static void
+test_replica_books (void)
+{
+  for (guint32 seed = 1; seed <= 20; seed++)
+    {
+      Bench b;
+      HzbJob *jobs[3];
+      HzbMachine *m[3];
+      bench_up (&b, seed);
+      for (guint i = 0; i < 3; i++)
+        m[i] = bench_machine (&b, "big", i ? "za" : "zb", FALSE);
+      for (guint i = 0; i < 3; i++)
+        {
+          jobs[i] = bench_job (&b, i ? "red" : "blue", HZB_URGENCY_PRODUCTION, 6, 1 + i, 0.5);
+          jobs[i]->spec->service = i < 2;
+        }
+      for (guint step = 0; step < 400; step++)
+        {
+          HzbTask *task = &jobs[g_rand_int_range (b.rand, 0, 3)]->tasks[g_rand_int_range (b.rand, 0, 6)];
+          HzbTaskState to = (HzbTaskState) g_rand_int_range (b.rand, 0, HZB_TASK_FINISHED);
+          gboolean placed = to == HZB_TASK_LISTED || (to >= HZB_TASK_BOOKED && to <= HZB_TASK_SAVING);
+          double cpus[3] = { 0 }, listed[3] = { 0 }, memory[3] = { 0 };
+          g_log_set_always_fatal (G_LOG_LEVEL_ERROR);
+          hzb_task_set_state (b.jobs, task, to, placed ? (task->machine && to != HZB_TASK_LISTED ? task->machine : m[step % 3]) : NULL);
+          for (guint j = 0; j < 2; j++)
+            for (guint i = 0; i < 6; i++)
+              for (guint k = 0; k < 3; k++)
+                {
+                  const HzbTask *t = &jobs[j]->tasks[i];
+                  if (t->machine != m[k])
+                    continue;
+                  if (hzb_task_on_machine (t))
+                    {
+                      cpus[k] += jobs[j]->spec->cpus;
+                      memory[k] += jobs[j]->spec->memory_gb;
+                    }
+                  else
+                    listed[k] += jobs[j]->spec->cpus;
+                }
+          for (guint k = 0; k < 3; k++)
+            {
+              g_assert_cmpfloat_with_epsilon (m[k]->service_cpus, cpus[k], 1e-9);
+              g_assert_cmpfloat_with_epsilon (m[k]->service_memory, memory[k], 1e-9);
+              g_assert_cmpfloat_with_epsilon (m[k]->listed_service_cpus, listed[k], 1e-9);
+              g_assert_cmpuint (hzb_machine_speed (m[k], jobs[2]->spec), ==, (guint) MAX (0, floor ((16 - cpus[k]) / 3 + 1e-9)));
+            }
+        }
+      bench_down (&b);
+    }
+}
+
+/* Parts of 32768 tasks, as version 1 has them: read, told apart from ours, and what is written instead says the same, also
+ * read beside the old one. */
+static void
+test_parts_of_version_1 (void)
+{
+  Bench b, after;
+  HzbJob *job, *again;
+  gboolean ours = TRUE;
+  cJSON *old = cJSON_Parse ("{\"released\":40000,\"team\":\"red\",\"cpus\":1,\"gpus\":0,\"done\":\"AQAAgA==\"}"); /* 0 and 31 */
+  cJSON *second = cJSON_Parse ("{\"released\":64,\"done\":\"Ag==\"}");                                     /* 32768 + 1 */
+  bench_up (&b, 1);
+  bench_up (&after, 1);
+  job = bench_job (&b, "red", HZB_URGENCY_NORMAL, 50000, 1, 10);
+  job->released = job->releasing = 0;
+  g_assert_true (hzb_job_read_progress (b.jobs, job, 0, old, &ours));
+  g_assert_false (ours);
+  g_assert_true (hzb_job_read_progress (b.jobs, job, 1, second, &ours));
+  g_assert_false (hzb_job_read_progress (b.jobs, job, 2, second, &ours)); /* there is no such part */
+  g_assert_cmpuint (job->done, ==, 3);
+  g_assert_cmpint (job->tasks[32769].state, ==, HZB_TASK_DONE);
+  g_assert_cmpuint (job->released, ==, 40000);
+  g_assert_cmpuint (job->unknown, ==, 40000 - 3);
+  again = bench_job (&after, "red", HZB_URGENCY_NORMAL, 50000, 1, 10);
+  again->released = again->releasing = 0;
+  for (guint k = 0; k < hzb_job_chunks (b.jobs, job); k++)
+    {
+      cJSON *value = hzb_job_pack_progress (b.jobs, job, k);
+      g_assert_true (hzb_job_read_progress (after.jobs, again, k, value, &ours));
+      g_assert_true (ours);
+      cJSON_Delete (value);
+      if (k == 2)
+        hzb_job_read_progress (after.jobs, again, 0, old, &ours);
+    }
+  g_assert_cmpuint (again->done, ==, 3);
+  g_assert_cmpuint (again->released, ==, 40000);
+  for (guint i = 0; i < 50000; i++)
+    g_assert_cmpint (again->tasks[i].state, ==, job->tasks[i].state);
+  /* A job that fits one part of either size is written alike by both. */
+  job = bench_job (&b, "red", HZB_URGENCY_NORMAL, 8000, 1, 10);
+  second = (cJSON_Delete (second), hzb_job_pack_progress (b.jobs, job, 0));
+  g_assert_false (cJSON_HasObjectItem (second, "of"));
+  cJSON_Delete (second);
+  cJSON_Delete (old);
+  bench_down (&b);
+  bench_down (&after);
+}
+
 static void
 test_progress (void)
 {
@@ -200,6 +302,8 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/jobs/illegal-changes", test_illegal);
+  g_test_add_func ("/jobs/replica-books", test_replica_books);
+  g_test_add_func ("/jobs/parts-of-version-1", test_parts_of_version_1);
   g_test_add_func ("/jobs/books", test_books);
   g_test_add_func ("/jobs/progress", test_progress);
   g_test_add_func ("/jobs/large", test_large_job);
--- a/tests/test-upgrade.c
+++ b/tests/test-upgrade.c
@@ -342,6 +342,35 @@
     }
 }
 
+/* The state service calls every larger value malformed, also beyond what the settings say: the node neither loops nor
+ * stops serving, and goes on once it can. */
+static void
+test_malformed (void)
+{
+  World *w = world_new (460);
+  WorldJob *late;
+  guint before;
+  for (guint i = 0; i < 6; i++)
+    world_add_job (w, 1 + 0.2 * i, i % 2 ? "red" : "blue", 10, 1, 15);
+  late = world_add_job (w, 12, "red", 2, 1, 5);
+  world_run (w, 10);
+  w->most_value = 100;
+  world_run (w, 11);
+  before = w->requests;
+  world_run (w, 41);
+  g_assert_cmpuint (w->requests - before, <, 30 * 40);
+  g_assert_cmpint (world_leader (w), !=, -1);
+  g_assert_false (late->accepted);
+  g_assert_cmpuint (w->broken->len, >, 0);
+  for (guint i = 0; i < w->broken->len; i++)
+    g_assert_true (g_str_has_prefix (w->broken->pdata[i], "too_large"));
+  g_ptr_array_set_size (w->broken, 0);
+  w->most_value = 2048;
+  world_run (w, 300);
+  expect_all_over (w, "malformed", 460);
+  world_free (w);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -353,6 +382,7 @@
   g_test_add_func ("/world/odd-requests", test_odd_requests);
   g_test_add_func ("/world/rollout", test_rollout);
   g_test_add_func ("/world/rollout-and-troubles", test_rollout_and_troubles);
+  g_test_add_func ("/world/malformed", test_malformed);
   g_test_add_func ("/world/large-records", test_large_records);
   return g_test_run ();
 }
--- a/tests/test-wire.c
+++ b/tests/test-wire.c
@@ -138,6 +138,45 @@
   g_assert_cmpint (hzb_settings_team (s, "green"), ==, -1);
 }
 
+static HzbSettings *
+settings_with_next (const char *next, GError **error)
+{
+  g_autofree char *text = g_strdup_printf (
+      "node = \"n0\"\nsite = \"za\"\napi_addr = \"10.0.0.1:80\"\ncluster_listen = \"10.0.0.1:81\"\n"
+      "[external]\ncloud = \"10.0.0.2:1\"\nstate = \"10.0.0.3:1\"\n[cluster]\nsize = 1\nzones = [\"za\"]\n"
+      "[[cluster.teams]]\nname = \"red\"\n[cluster.workers]\nreport_s = 2\nlease_s = 16\ncancel_s = 41\n[cluster.cloud]\nrps = 4\n"
+      "[cluster.state]\nrps = 80\nwrite_rps = 30\nvalue_kb = 16\ntxn_ops = 24\n%s", next);
+  return hzb_settings_parse (text, "test", error);
+}
+
+/* Limits that come later: the lesser of both holds from the start, an absent key changes nothing, a wrong one is named. */
+static void
+test_next_limits (void)
+{
+  g_autoptr (GError) error = NULL;
+  g_autoptr (HzbSettings) none = settings_with_next ("", &error), some = NULL, higher = NULL, all = NULL;
+  g_assert_no_error (error);
+  g_assert_cmpfloat (none->store_value_kb, ==, 16);
+  some = settings_with_next ("[cluster.state.next]\nvalue_kb = 2.0\n", &error);
+  g_assert_no_error (error);
+  g_assert_cmpfloat (some->store_value_kb, ==, 2);
+  g_assert_cmpuint (some->store_txn_ops, ==, 24);
+  g_assert_cmpfloat (some->store_write_rps, ==, 30);
+  all = settings_with_next ("[cluster.state.next]\nvalue_kb = 2\ntxn_ops = 5\nwrite_rps = 15\nrps = 40\nnew = 1\n", &error);
+  g_assert_no_error (error);
+  g_assert_cmpuint (all->store_txn_ops, ==, 5);
+  g_assert_cmpfloat (all->store_write_rps, ==, 15);
+  g_assert_cmpfloat (all->store_rps, ==, 40);
+  higher = settings_with_next ("[cluster.state.next]\ntxn_ops = 50\n", &error);
+  g_assert_no_error (error);
+  g_assert_cmpuint (higher->store_txn_ops, ==, 24);
+  g_assert_null (settings_with_next ("[cluster.state.next]\nvalue_kb = \"small\"\n", &error));
+  g_assert_nonnull (strstr (error->message, "cluster.state.next.value_kb"));
+  g_clear_error (&error);
+  g_assert_null (settings_with_next ("next = 5\n", &error));
+  g_assert_nonnull (strstr (error->message, "cluster.state.next: expected a table"));
+}
+
 int
 main (int argc, char **argv)
 {
@@ -148,6 +187,7 @@
   g_test_add_func ("/wire/report", test_report);
   g_test_add_func ("/wire/large-numbers", test_large_numbers);
   g_test_add_func ("/settings/faults", test_settings_faults);
+  g_test_add_func ("/settings/next-limits", test_next_limits);
   g_test_add_func ("/settings/unknown-fields", test_unknown_fields);
   return g_test_run ();
 }
