--- a/tests/world.c
+++ b/tests/world.c
@@ -662,6 +662,21 @@
     }
 }
 
+/* The same message, whose answer nobody hears. */
+static Call *
+unheard_copy (const Call *call)
+{
+  Call *copy = g_new0 (Call, 1);
+  copy->node = call->node;
+  copy->life = G_MAXUINT;
+  copy->method = g_strdup (call->method);
+  copy->addr = g_strdup (call->addr);
+  copy->path = g_strdup (call->path);
+  copy->body = g_strdup (call->body);
+  copy->refs = 1;
+  return copy;
+}
+
 static void
 node_send (HzbTransport *transport, const char *method, const char *addr, const char *path, char *body,
            guint timeout_ms, HzbReplyFunc done, gpointer user)
@@ -687,28 +702,10 @@
   if (chance (w, w->lose) || is_cut (w, call))
     return;
   if (!g_str_has_prefix (addr, "10.9.") && chance (w, w->peer_copies))
-    {
-      Call *copy = g_new0 (Call, 1);
-      copy->node = call->node;
-      copy->life = G_MAXUINT; /* nobody hears the answer */
-      copy->method = g_strdup (method);
-      copy->addr = g_strdup (addr);
-      copy->path = g_strdup (path);
-      copy->body = g_strdup (body);
-      copy->refs = 1;
-      world_at (w, w->now + g_rand_double_range (w->rand, 0.2, 30), on_arrival, copy);
-    }
+    world_at (w, w->now + g_rand_double_range (w->rand, 0.2, 30), on_arrival, unheard_copy (call));
   if (g_str_equal (path, "/multi") && chance (w, w->late_writes))
     {
-      Call *late = g_new0 (Call, 1);
-      late->node = call->node;
-      late->life = G_MAXUINT; /* nobody hears the answer */
-      late->method = g_strdup (method);
-      late->addr = g_strdup (addr);
-      late->path = g_strdup (path);
-      late->body = g_strdup (body);
-      late->refs = 1;
-      world_at (w, w->now + g_rand_double_range (w->rand, 2, 12), on_arrival, late);
+      world_at (w, w->now + g_rand_double_range (w->rand, 2, 12), on_arrival, unheard_copy (call));
       return;
     }
   call->refs++;
