--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -588,7 +588,7 @@
 
 /* The unstarted task that the machine should take from another's list: of a sample, that of the most loaded. */
 static HzbTask *
-find_move (HzbDispatch *d, HzbMachine *m, guint class, gboolean cached)
+find_move (HzbDispatch *d, HzbMachine *m, guint class, gboolean cached, struct timespec now)
 {
   GPtrArray *listers = d->listers[class];
   guint n = listers->len, most_looks = MIN (n, d->lagging ? d->sample : MOVE_SAMPLE);
@@ -612,7 +612,10 @@
         {
           HzbTask *task = l->data;
           const HzbSpec *spec = task->job->spec;
-          if ((cached && !g_hash_table_contains (m->images, spec->image)) || !hzb_machine_allowed (m, spec)
+          /* A replica is there sooner where its image is, even if that machine reports later. */
+          gboolean waits = spec->service && g_hash_table_contains (other->images, spec->image)
+                           && hzb_time_between (task->since, now) < 2 * d->settings->report_s;
+          if (((cached || waits) && !g_hash_table_contains (m->images, spec->image)) || !hzb_machine_allowed (m, spec)
               || !hzb_machine_has_room (m, spec)
               || (m->last_failed_job && g_str_equal (m->last_failed_job, task->job->uid)) || !startable (d, task, m))
             continue;
@@ -693,7 +696,7 @@
       for (guint cached = 2; cached-- > 0 && d->listers[class]->len;)
         {
           HzbTask *task;
-          while (has_some_room (d, m) && (task = find_move (d, m, (guint) class, cached == 1)))
+          while (has_some_room (d, m) && (task = find_move (d, m, (guint) class, cached == 1, now)))
             start (d, task, m, orders);
         }
       start_waiting (d, m, (guint) class, now, orders);
--- a/src/lease.c
+++ b/src/lease.c
@@ -608,6 +608,9 @@
       m->asked_back = back;
       body = cJSON_CreateObject ();
       cJSON_AddStringToObject (body, back ? "back" : "keep", m->name);
+      /* Replicas wait for its room: what runs there comes along, and can give way here. */
+      if (back && m->kept)
+        cJSON_AddTrueToObject (body, "now");
       hzb_outbox_push (&lessee->out, body);
     }
 }
--- a/src/lessee.c
+++ b/src/lessee.c
@@ -206,7 +206,10 @@
     {
       HzbMachine *m = hzb_machines_find (c->machines, back ? back : keep);
       if (m)
-        m->asked_back = m->spare = back != NULL;
+        {
+          m->asked_back = m->spare = back != NULL;
+          m->asked_now = back && cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (batch, "now"));
+        }
     }
 }
 
@@ -408,7 +411,7 @@
           m->wanted_back = TRUE;
           hzb_lessee_give_machine (lessee, m, "the cloud takes it back");
         }
-      else if (m->asked_back && m->tasks->len == 0)
+      else if (m->asked_back && (m->tasks->len == 0 || (m->asked_now && m->state == HZB_MACHINE_ACTIVE)))
         hzb_lessee_give_machine (lessee, m, "the leader asked for it");
       else if (m->state == HZB_MACHINE_ACTIVE && m->tasks->len == 0 && hzb_machine_listed (m) == 0
                && hzb_time_between (m->idle_since, now) > IDLE_S)
--- a/src/machines.h
+++ b/src/machines.h
@@ -41,6 +41,7 @@
   guint8 lessee;  /* 1 and up: whom it is lent to */
   guint8 suspect; /* while unheard: the block whose unknown tasks may be on it, or HZB_SUSPECT_… */
   gboolean asked_back, lend_sent;
+  gboolean asked_now; /* with all that is on it */
   struct timespec rented; /* or, of a machine found in the records, first known */
   struct timespec since, answered, heard, idle_since, notice_at;
   gboolean confirmed; /* a report sent under our token has come */
--- a/tests/test-dispatch.c
+++ b/tests/test-dispatch.c
@@ -290,6 +290,61 @@
   bench_down (&b);
 }
 
+/* A listed replica is not moved to a machine that reports first and would have to fetch its image; an array's task is. And a
+ * replica is listed only where it fits beside other replicas, at most half of a spread service in one zone. */
+static void
+test_replica_stays (void)
+{
+  for (guint service = 0; service < 2; service++)
+    {
+      Bench b;
+      HzbMachine *with, *without;
+      HzbJob *job;
+      g_autoptr (GArray) orders = g_array_new (FALSE, FALSE, sizeof (HzbOrder));
+      struct timespec now;
+      bench_up (&b, 5);
+      now = hzb_clock_now (b.clock);
+      with = bench_machine (&b, "small", "za", FALSE);
+      job = bench_job (&b, "red", HZB_URGENCY_PRODUCTION, 1, 1, 10);
+      job->spec->service = service;
+      job->spec->image_gb = 5;
+      g_hash_table_add (with->images, g_ref_string_acquire (job->spec->image));
+      hzb_dispatch_run (b.dispatch, now);
+      g_assert_cmpint (job->tasks[0].state, ==, HZB_TASK_LISTED);
+      without = bench_machine (&b, "small", "za", FALSE);
+      hzb_dispatch_run (b.dispatch, now);
+      hzb_dispatch_fill (b.dispatch, without, now, orders);
+      g_assert_cmpuint (orders->len, ==, service ? 0 : 1);
+      hzb_clock_advance (b.clock, 5); /* it does not wait there for ever */
+      hzb_dispatch_fill (b.dispatch, without, hzb_clock_now (b.clock), orders);
+      g_assert_cmpuint (orders->len, ==, 1);
+      bench_down (&b);
+    }
+  {
+    Bench b;
+    HzbMachine *m[4];
+    HzbJob *job;
+    guint in_za = 0, listed = 0;
+    bench_up (&b, 6);
+    for (guint i = 0; i < 4; i++)
+      m[i] = bench_machine (&b, "small", i < 3 ? "za" : "zb", FALSE); /* 4 CPUs each */
+    job = bench_job (&b, "red", HZB_URGENCY_PRODUCTION, 7, 2, 10);
+    job->spec->service = job->spec->spread = TRUE;
+    hzb_dispatch_run (b.dispatch, hzb_clock_now (b.clock));
+    for (guint i = 0; i < 7; i++)
+      if (job->tasks[i].state == HZB_TASK_LISTED)
+        {
+          listed++;
+          in_za += g_str_equal (job->tasks[i].machine->zone, "za");
+        }
+    g_assert_cmpuint (in_za, ==, 4);
+    g_assert_cmpuint (listed, ==, 6); /* two fit in zb */
+    for (guint i = 0; i < 4; i++)
+      g_assert_cmpfloat (m[i]->listed_service_cpus, <=, 4);
+    bench_down (&b);
+  }
+}
+
 /* An urgent task has lower work stopped; work of its own priority is left alone. */
 static void
 test_preemption (void)
@@ -452,6 +507,7 @@
   g_test_add_func ("/dispatch/consolidate", test_consolidate);
   g_test_add_func ("/dispatch/largest-begins", test_largest_begins);
   g_test_add_func ("/dispatch/move-to-idle", test_move_to_idle);
+  g_test_add_func ("/dispatch/replica-stays", test_replica_stays);
   g_test_add_func ("/dispatch/preemption", test_preemption);
   g_test_add_func ("/dispatch/gang", test_gang);
   g_test_add_func ("/fleet/rentals", test_rentals);
--- a/tests/test-upgrade.c
+++ b/tests/test-upgrade.c
@@ -86,6 +86,36 @@
   world_free (w);
 }
 
+/* The only machines that suit are lent and full of long work: they come back with it, and it gives way. */
+static void
+test_kept_machine_comes_back (void)
+{
+  for (guint32 seed = 413; seed < 417; seed++)
+    {
+      World *w = world_new (seed);
+      WorldJob *service;
+      guint lent = 0;
+      HzbController *c;
+      for (guint i = 0; i < 8; i++)
+        {
+          WorldJob *job = world_add_job (w, 1 + 0.1 * i, i % 2 ? "red" : "blue", 6, 2, 300);
+          job->spot = FALSE;
+          job->zone = i % 4 < 2 ? "za" : "zb";
+        }
+      world_run (w, 30);
+      c = w->nodes[world_leader (w)].c;
+      for (guint i = 0; i < c->machines->all->len; i++)
+        lent += ((HzbMachine *) c->machines->all->pdata[i])->state == HZB_MACHINE_LENT;
+      g_assert_cmpuint (lent, >, 0);
+      w->size.machines = 0; /* no more are to be had */
+      service = add_service (w, 30, "red", 4, 1, 120);
+      world_run (w, 110);
+      g_assert_cmpfloat (service->missed_s, <, 0.05 * service->wanted_s);
+      expect_no_fault (w, "kept machine comes back", seed);
+      world_free (w);
+    }
+}
+
 static void
 answered (HzbExchange *exchange, guint status, const char *body, guint retry)
 {
@@ -379,6 +409,7 @@
   g_test_add_func ("/world/service", test_service);
   g_test_add_func ("/world/service-preempts", test_service_preempts);
   g_test_add_func ("/world/kept-room", test_kept_room);
+  g_test_add_func ("/world/kept-machine-comes-back", test_kept_machine_comes_back);
   g_test_add_func ("/world/odd-requests", test_odd_requests);
   g_test_add_func ("/world/rollout", test_rollout);
   g_test_add_func ("/world/rollout-and-troubles", test_rollout_and_troubles);
