A call that libsoup does not end is ended here: its caller, and all behind it, waited for ever

The one check of non-final answers that is under way at a time never ended, so the node answered no question about running jobs any more. Found by logging each call's start, expiry and end. Ruled out: the queue of the store's client, its budget, the clock.

--- a/src/http.c
+++ b/src/http.c
@@ -19,10 +19,15 @@
 {
   HzbTransport parent;
   SoupSession *session;
+  guint lost; /* calls that were given up, and that libsoup has not ended since */
 } Client;
 
+#define MOST_LOST 8u /* each may hold a connection of the pool */
+
 typedef struct
 {
+  Client *client;
+  gboolean over; /* its caller has been told */
   SoupSession *session;
   SoupMessage *message;
   guint timer;
@@ -30,12 +35,38 @@
   gpointer user;
 } Call;
 
+static SoupSession *
+session_new (void)
+{
+  /* No proxy resolver: it would load GIO modules and ask D-Bus, and there are no names to look up. */
+  return soup_session_new_with_options (SOUP_SESSION_PROXY_RESOLVER, NULL, SOUP_SESSION_MAX_CONNS, 64,
+                                        SOUP_SESSION_MAX_CONNS_PER_HOST, 24, SOUP_SESSION_IDLE_TIMEOUT, 30,
+                                        SOUP_SESSION_TIMEOUT, 0, NULL);
+}
+
+/* Guards against libsoup 2.74, which does not always end a message that is cancelled (seen with transactions that the
+ * state service took and never answered): whoever called would wait for ever, and with it all that waits its turn
+ * behind. So the caller is told here, whatever libsoup does; and if it keeps several, it starts with an empty pool. */
 static gboolean
 call_expired (gpointer data)
 {
   Call *call = data;
+  Client *client = call->client;
+  HzbReplyFunc done = call->done;
+  gpointer user = call->user;
+
   call->timer = 0;
-  soup_session_cancel_message (call->session, call->message, SOUP_STATUS_CANCELLED);
+  call->over = TRUE;
+  client->lost++;
+  soup_session_cancel_message (call->session, call->message, SOUP_STATUS_CANCELLED); /* the call may be gone after this */
+  done (0, "", 0, user);
+  if (client->lost >= MOST_LOST)
+    {
+      g_autoptr (SoupSession) old = client->session;
+      client->session = session_new ();
+      client->lost = 0;
+      soup_session_abort (old);
+    }
   return G_SOURCE_REMOVE;
 }
 
@@ -47,9 +78,12 @@
   guint status = SOUP_STATUS_IS_TRANSPORT_ERROR (message->status_code) ? 0 : message->status_code;
   g_autoptr (SoupBuffer) body = soup_message_body_flatten (message->response_body); /* ends with a NUL */
 
+  if (call->over && call->session == call->client->session)
+    call->client->lost--;
   if (call->timer)
     g_source_remove (call->timer);
-  call->done (status, body->data, body->length, call->user);
+  if (!call->over)
+    call->done (status, body->data, body->length, call->user);
   g_free (call);
 }
 
@@ -61,6 +95,7 @@
   g_autofree char *uri = g_strconcat ("http://", addr, path, NULL);
   Call *call = g_new0 (Call, 1);
 
+  call->client = client;
   call->session = client->session;
   call->message = soup_message_new (method, uri);
   call->done = done;
@@ -77,10 +112,7 @@
 {
   Client *client = g_new0 (Client, 1);
   client->parent.send = client_send;
-  /* No proxy resolver: it would load GIO modules and ask D-Bus, and there are no names to look up. */
-  client->session = soup_session_new_with_options (SOUP_SESSION_PROXY_RESOLVER, NULL, SOUP_SESSION_MAX_CONNS, 64,
-                                                   SOUP_SESSION_MAX_CONNS_PER_HOST, 24, SOUP_SESSION_IDLE_TIMEOUT, 30,
-                                                   SOUP_SESSION_TIMEOUT, 0, NULL);
+  client->session = session_new ();
   return &client->parent;
 }
 
