--- a/src/http.c
+++ b/src/http.c
@@ -15,11 +15,19 @@
 
 /* ---- client ---- */
 
+/* The connections of a while. */
+typedef struct
+{
+  SoupSession *session; /* NULL: ended */
+  guint live;           /* calls under way */
+  guint lost;           /* calls that were given up, and that libsoup has not ended since */
+  gboolean retired;     /* another serves what comes */
+} Pool;
+
 typedef struct
 {
   HzbTransport parent;
-  SoupSession *session;
-  guint lost; /* calls that were given up, and that libsoup has not ended since */
+  Pool *pool;
 } Client;
 
 #define MOST_LOST 8u /* each may hold a connection of the pool */
@@ -27,46 +35,66 @@
 typedef struct
 {
   Client *client;
+  Pool *pool;
   gboolean over; /* its caller has been told */
-  SoupSession *session;
   SoupMessage *message;
   guint timer;
   HzbReplyFunc done;
   gpointer user;
 } Call;
 
-static SoupSession *
-session_new (void)
+static Pool *
+pool_new (void)
 {
+  Pool *pool = g_new0 (Pool, 1);
   /* No proxy resolver: it would load GIO modules and ask D-Bus, and there are no names to look up. */
-  return soup_session_new_with_options (SOUP_SESSION_PROXY_RESOLVER, NULL, SOUP_SESSION_MAX_CONNS, 64,
-                                        SOUP_SESSION_MAX_CONNS_PER_HOST, 24, SOUP_SESSION_IDLE_TIMEOUT, 30,
-                                        SOUP_SESSION_TIMEOUT, 0, NULL);
+  pool->session = soup_session_new_with_options (SOUP_SESSION_PROXY_RESOLVER, NULL, SOUP_SESSION_MAX_CONNS, 64,
+                                                 SOUP_SESSION_MAX_CONNS_PER_HOST, 24, SOUP_SESSION_IDLE_TIMEOUT, 30,
+                                                 SOUP_SESSION_TIMEOUT, 0, NULL);
+  return pool;
+}
+
+/* A retired pool ends with the last of its calls; what libsoup has lost may still come back to it. */
+static void
+pool_settle (Pool *pool)
+{
+  if (!pool->retired || pool->live)
+    return;
+  if (pool->session)
+    {
+      g_autoptr (SoupSession) session = g_steal_pointer (&pool->session);
+      pool->live++; /* until all that ends with it has */
+      soup_session_abort (session);
+      pool->live--;
+    }
+  if (!pool->lost)
+    g_free (pool);
 }
 
 /* Guards against libsoup 2.74, which does not always end a message that is cancelled (seen with transactions that the
  * state service took and never answered): whoever called would wait for ever, and with it all that waits its turn
- * behind. So the caller is told here, whatever libsoup does; and if it keeps several, it starts with an empty pool. */
+ * behind. So the caller is told here, whatever libsoup does; and once it keeps several, new calls get a new pool. */
 static gboolean
 call_expired (gpointer data)
 {
   Call *call = data;
   Client *client = call->client;
+  Pool *pool = call->pool;
   HzbReplyFunc done = call->done;
   gpointer user = call->user;
 
   call->timer = 0;
   call->over = TRUE;
-  client->lost++;
-  soup_session_cancel_message (call->session, call->message, SOUP_STATUS_CANCELLED); /* the call may be gone after this */
+  pool->lost++;
+  soup_session_cancel_message (pool->session, call->message, SOUP_STATUS_CANCELLED); /* the call may be gone after this */
   done (0, "", 0, user);
-  if (client->lost >= MOST_LOST)
+  if (pool == client->pool && pool->lost >= MOST_LOST)
     {
-      g_autoptr (SoupSession) old = client->session;
-      client->session = session_new ();
-      client->lost = 0;
-      soup_session_abort (old);
+      client->pool = pool_new ();
+      pool->retired = TRUE;
     }
+  pool->live--;
+  pool_settle (pool);
   return G_SOURCE_REMOVE;
 }
 
@@ -74,17 +102,21 @@
 call_done (SoupSession *session, SoupMessage *message, gpointer data)
 {
   Call *call = data;
+  Pool *pool = call->pool;
   /* Below 100 are libsoup's own codes: no answer came. */
   guint status = SOUP_STATUS_IS_TRANSPORT_ERROR (message->status_code) ? 0 : message->status_code;
   g_autoptr (SoupBuffer) body = soup_message_body_flatten (message->response_body); /* ends with a NUL */
 
-  if (call->over && call->session == call->client->session)
-    call->client->lost--;
-  if (call->timer)
-    g_source_remove (call->timer);
-  if (!call->over)
-    call->done (status, body->data, body->length, call->user);
+  if (call->over)
+    pool->lost--;
+  else
+    {
+      g_source_remove (call->timer);
+      call->done (status, body->data, body->length, call->user);
+      pool->live--;
+    }
   g_free (call);
+  pool_settle (pool);
 }
 
 static void
@@ -96,7 +128,8 @@
   Call *call = g_new0 (Call, 1);
 
   call->client = client;
-  call->session = client->session;
+  call->pool = client->pool;
+  call->pool->live++;
   call->message = soup_message_new (method, uri);
   call->done = done;
   call->user = user;
@@ -104,7 +137,7 @@
     soup_message_set_request (call->message, "application/json", SOUP_MEMORY_TAKE, body, strlen (body));
   /* A connection taken from the pool may be behind a cut; every call has its own end. */
   call->timer = g_timeout_add (timeout_ms, call_expired, call);
-  soup_session_queue_message (client->session, call->message, call_done, call); /* takes the message */
+  soup_session_queue_message (call->pool->session, call->message, call_done, call); /* takes the message */
 }
 
 HzbTransport *
@@ -112,10 +145,24 @@
 {
   Client *client = g_new0 (Client, 1);
   client->parent.send = client_send;
-  client->session = session_new ();
+  client->pool = pool_new ();
   return &client->parent;
 }
 
+/* Calls that are under way end with it. */
+void
+hzb_http_client_free (HzbTransport *transport)
+{
+  Client *client = (Client *) transport;
+  Pool *pool = client->pool;
+  pool->live++;
+  soup_session_abort (pool->session);
+  pool->live--;
+  pool->retired = TRUE;
+  pool_settle (pool);
+  g_free (client);
+}
+
 /* ---- server ---- */
 
 /* GLib looks at every source and polls every descriptor on every turn of its loop, so a worker's idle connection would
--- a/tests/test-http.c
+++ b/tests/test-http.c
@@ -8,6 +8,7 @@
 
 static guint polled, served;
 static guint16 port;
+static GQueue unanswered; /* HzbExchange */
 
 static gint
 count_polled (GPollFD *fds, guint n, gint timeout)
@@ -20,6 +21,11 @@
 serve (HzbExchange *exchange, gpointer user)
 {
   served++;
+  if (g_str_has_suffix (exchange->path, "/silent"))
+    {
+      g_queue_push_tail (&unanswered, exchange);
+      return;
+    }
   hzb_exchange_reply (exchange, g_str_equal (exchange->path, "/unable") ? 503 : 200, g_strdup ("{}"), 0);
 }
 
@@ -162,6 +168,66 @@
   hzb_http_server_free (server);
 }
 
+typedef struct
+{
+  guint ended, last;
+} Ended;
+
+static void
+on_end (guint status, const char *body, gsize length, gpointer user)
+{
+  Ended *ended = user;
+  ended->ended++;
+  ended->last = status;
+}
+
+static gboolean
+give_up (gpointer data)
+{
+  *(gboolean *) data = TRUE;
+  return G_SOURCE_REMOVE;
+}
+
+/* Every call ends, once, whatever its other end does: also one that is taken and never answered, on a connection that was
+ * used before, and many of them; and the next one is served. */
+static void
+test_every_call_ends (void)
+{
+  HzbHttpServer *server = server_up ();
+  HzbTransport *client = hzb_http_client_new ();
+  g_autofree char *addr = g_strdup_printf ("127.0.0.1:%u", port);
+  for (guint round = 0; round < 12; round++)
+    {
+      Ended calls[10] = { { 0, 0 } };
+      guint ended = 0;
+      gboolean late = FALSE;
+      guint timer = g_timeout_add_seconds (10, give_up, &late);
+      for (guint i = 0; i < 10; i++)
+        hzb_send (client, i % 3 ? "POST" : "GET", addr, i % 2 ? "/multi/silent" : "/multi", i % 3 ? g_strdup ("{\"when\":[]}") : NULL,
+                  i % 2 ? 60 : 5000, on_end, &calls[i]);
+      while (ended < 10 && !late)
+        {
+          g_main_context_iteration (NULL, TRUE);
+          ended = 0;
+          for (guint i = 0; i < 10; i++)
+            ended += calls[i].ended;
+        }
+      g_assert_false (late);
+      g_source_remove (timer);
+      for (guint i = 0; i < 10; i++)
+        {
+          g_assert_cmpuint (calls[i].ended, ==, 1);
+          g_assert_cmpuint (calls[i].last, ==, i % 2 ? 0 : 200);
+        }
+    }
+  hzb_http_client_free (client);
+  while (unanswered.length)
+    hzb_exchange_reply (g_queue_pop_head (&unanswered), 200, g_strdup ("{}"), 0);
+  while (g_main_context_iteration (NULL, FALSE))
+    continue;
+  hzb_http_server_free (server);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -170,5 +236,6 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/http/idle-costs-nothing", test_idle_costs_nothing);
   g_test_add_func ("/http/ends", test_ends);
+  g_test_add_func ("/http/every-call-ends", test_every_call_ends);
   return g_test_run ();
 }
