A cancellation that every controller knows is told, also while leaders change

Cause: a cancelled job is called so once nothing of it is unknown to the owner. After a change of leader that takes until every machine on record has answered or is gone, and each leader begins to wait anew (lease plus 2 s for a silent one). On many machines some are always silent, so while leaders change faster than that a cancelled job was answered 503 for as long as it went on: no question about it was answered for 90 s, while most others got answers.

Ruled out as a way around it: confirming by the time of leases (an owner that thinks that the outage is everybody's goes on renewing them), and answering "running" until then (an earlier owner may have told "cancelled").

Now it is enough that every controller's process knows the record: heartbeats say how far a mirror has come. Each of them starts nothing of the job and stops what a report shows of it.

--- a/src/cancellations.c
+++ b/src/cancellations.c
@@ -62,10 +62,23 @@
   return job->version && hzb_mirror_revision (controller->mirror) >= job->version;
 }
 
+/* Guards against a cancellation that nobody may be told of for as long as leaders change: each new one waits anew for the
+ * machines that do not answer, and in a large fleet there always are some. A machine obeys controllers only, and each
+ * of them knows of this cancellation: none starts anything of the job, and each answers a report that shows a task of it
+ * with the command to stop. So it does not matter where the job's unknown tasks are. */
+static gboolean
+known_to_every_controller (HzbController *controller, const HzbJob *job)
+{
+  return job->state == HZB_JOB_CANCELLED && job->version
+         && hzb_peers_all_have_mirrored (controller->peers, job->version);
+}
+
 /* The owner's own view: nothing of the job can be where this cancellation is not known. */
 static gboolean
 acknowledged_by_all (HzbController *controller, HzbJob *job)
 {
+  if (known_to_every_controller (controller, job))
+    return TRUE;
   if (controller->ownership < HZB_OWNERSHIP_RECOVERING || job->state != HZB_JOB_CANCELLED)
     return FALSE;
   if (!job->tasks)
@@ -78,8 +91,10 @@
 hzb_cancellations_acknowledged (HzbCancellations *cancellations, HzbJob *job)
 {
   HzbController *controller = cancellations->controller;
-  if (!job->cancel_acknowledged && hzb_election_leading (controller->election) && mirror_has (controller, job)
-      && acknowledged_by_all (controller, job))
+  if (!job->cancel_acknowledged
+      && (known_to_every_controller (controller, job)
+          || (hzb_election_leading (controller->election) && mirror_has (controller, job)
+              && acknowledged_by_all (controller, job))))
     job->cancel_acknowledged = TRUE;
   return job->cancel_acknowledged;
 }
--- a/src/peers.c
+++ b/src/peers.c
@@ -23,7 +23,8 @@
   gboolean sends_workers; /* to the leader, lately */
   gboolean lost_workers;  /* and gave way for that, not long ago */
   gboolean logged_old_format;
-  guint format; /* of records and messages, as it last said */
+  guint format;              /* of records and messages, as it last said */
+  guint64 mirrored_revision; /* its mirror has all changes up to here; 0: a version that does not say */
   /* by what it sent of its own accord */
   char *incarnation;
   guint64 born, number[HZB_PEER_N_KINDS];
@@ -169,6 +170,17 @@
   return FALSE;
 }
 
+gboolean
+hzb_peers_all_have_mirrored (HzbPeers *peers, guint64 revision)
+{
+  if (peers->views->len + 1 < peers->controller->settings->size)
+    return FALSE; /* the settings name fewer than there are */
+  for (guint i = 0; i < peers->views->len; i++)
+    if (g_array_index (peers->views, View, i).mirrored_revision < revision)
+      return FALSE;
+  return TRUE;
+}
+
 gboolean
 hzb_peers_last_store_contact (HzbPeers *peers, const char *node, struct timespec *at)
 {
@@ -234,6 +246,7 @@
       view->incarnation = g_strdup (incarnation);
       view->born = MAX (born, view->born);
       view->format = 1; /* until it says another */
+      view->mirrored_revision = 0;
       memset (view->number, 0, sizeof view->number);
     }
   if (number <= view->number[kind])
@@ -261,6 +274,7 @@
                                     < REDIRECTS_S);
   cJSON_AddBoolToObject (root, "lostWorkers", lost_workers (controller));
   cJSON_AddNumberToObject (root, "storeSilenceS", MIN (hzb_store_silence (controller->store), 1e6));
+  hzb_json_add_u64 (root, "mirrored", hzb_mirror_revision (controller->mirror));
   if (controller->ownership >= HZB_OWNERSHIP_RECOVERING)
     {
       cJSON *list = cJSON_AddObjectToObject (root, "jobs");
@@ -286,6 +300,7 @@
       !cJSON_IsFalse (cJSON_GetObjectItemCaseSensitive (root, "sendsWorkers")); /* version 1 doesn't say */
   view->lost_workers = cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (root, "lostWorkers"));
   view->format = (guint) hzb_json_number (root, "format", 1);
+  view->mirrored_revision = MAX (view->mirrored_revision, hzb_json_u64 (root, "mirrored"));
   view->leads = cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (root, "leads"));
   if (view->leads)
     {
--- a/src/peers.h
+++ b/src/peers.h
@@ -50,6 +50,13 @@
 /** hzb_peers_any_older_format: a reachable peer states a lower format than this process. */
 gboolean hzb_peers_any_older_format (HzbPeers *peers);
 
+/**
+ * hzb_peers_all_have_mirrored: every other controller has said that its mirror has all changes up to this revision, so
+ * whatever any of them owns, it decides with these changes in view. A process that takes the place of one of them reads
+ * them before it owns anything.
+ */
+gboolean hzb_peers_all_have_mirrored (HzbPeers *peers, guint64 revision);
+
 /** hzb_peers_last_store_contact: when the state service last served the node, as it said. Returns: FALSE if unknown. */
 gboolean hzb_peers_last_store_contact (HzbPeers *peers, const char *node, struct timespec *at);
 
--- a/src/worker-api.c
+++ b/src/worker-api.c
@@ -326,6 +326,26 @@
   return machine;
 }
 
+/* A leader that has not read its records yet: the leases of its machines should live meanwhile, and nothing is concluded
+ * from a report. Guards against work that is called cancelled and runs on for as long as an outage keeps the records from
+ * being read: of a job that this node knows to be cancelled, every task is stopped. */
+static void
+answer_while_loading (HzbController *controller, const HzbReport *report, HzbExchange *exchange)
+{
+  g_autoptr (GArray) commands = g_array_new (FALSE, FALSE, sizeof (HzbCommand));
+  guint64 token = hzb_token (hzb_election_term (controller->election), 0);
+
+  for (guint i = 0; i < report->task_reports->len; i++)
+    {
+      const HzbTaskReport *task_report = &g_array_index (report->task_reports, HzbTaskReport, i);
+      const HzbJob *job = hzb_jobs_find (controller->jobs, task_report->uid);
+      if (job && job->state == HZB_JOB_CANCELLED && task_report->state != HZB_TASK_REPORT_EXITED)
+        command (commands, HZB_COMMAND_STOP, task_report->uid, task_report->task, task_report->attempt, 0);
+    }
+  /* A token that the worker has seen already is not lowered. */
+  hzb_exchange_reply (exchange, 200, hzb_wire_commands (MAX (token, report->token), commands), 0);
+}
+
 /* On the leader: its machines, and those nobody expected. NULL: the exchange has been answered. */
 static HzbMachine *
 own_machine (HzbController *controller, const HzbReport *report, HzbExchange *exchange)
@@ -342,8 +362,7 @@
     }
   if (controller->ownership < HZB_OWNERSHIP_RECOVERING)
     {
-      /* Its lease should live while the records are read. A token that it has seen already is not lowered. */
-      hzb_exchange_reply (exchange, 200, hzb_wire_commands (MAX (hzb_token (term, 0), report->token), NULL), 0);
+      answer_while_loading (controller, report, exchange);
       return NULL;
     }
   machine = hzb_machines_find (controller->machines, report->host);
--- a/tests/sim-cluster.h
+++ b/tests/sim-cluster.h
@@ -66,8 +66,11 @@
   gboolean wants_cancel, submitted, accepted, told_done, told_cancelled, asked_cancel;
   gboolean polls_only; /* its user has asked once to cancel it, and then asks how it stands */
   double submit_at, cancelled_at, answered_at, began_at;
-  double waits_since; /* calm, and something of it waits though a machine that fits has room; 0: not */
-  guchar *finished;   /* a task has ended well somewhere */
+  double longest_silence_s; /* between two answers about it */
+  guint last_status;        /* of the answers to its user */
+  GString *history;         /* what its user was told, a line for each change */
+  double waits_since;       /* calm, and something of it waits though a machine that fits has room; 0: not */
+  guchar *finished;         /* a task has ended well somewhere */
 } SimJob;
 
 /* What a larger deployment than the usual little one differs in. */
@@ -83,6 +86,7 @@
   guint rows;               /* of a range read */
   guint max_mirrored_ended; /* jobs that are over stay mirrored; 0: as usual */
   double check_s;           /* the rules are checked so often; 0: after every event */
+  guint kept_changes;       /* the state service keeps so many: a watch from before them gets 410; 0: all */
   guint next_txn_ops;       /* limits of the state service that will come, as the settings say; 0: not named */
   double next_write_rps;
 } SimSize;
@@ -117,11 +121,12 @@
   GPtrArray *broken;       /* rules broken, as texts */
   guint started, ran;
   SimSize size;
-  double next_check, next_wait_check, counted_at;
+  double next_check, next_wait_check, next_silence_check, counted_at;
   double calm_at;               /* all troubles are over; 0: nobody said */
   GHashTable *by_uid;           /* WorldJob */
   guint requests, rows_read;    /* of the state service */
   guint rentals, most_returned; /* calls */
+  guint oversized_requests;     /* between controllers: larger than a request may be */
 };
 
 extern const SimSize sim_size_little; /* what world_new() takes */
--- a/tests/sim-network.c
+++ b/tests/sim-network.c
@@ -148,6 +148,12 @@
         }
       if (sim_node_paused (target, on_arrival, call))
         return;
+      if (call->body && strlen (call->body) > HZB_MAX_BODY)
+        {
+          sim->oversized_requests++;
+          sim_answer (sim, call, 400, NULL); /* as the HTTP server does */
+          return;
+        }
       exchange = g_new0 (HzbExchange, 1);
       pair = g_new0 (gpointer, 2);
       pair[0] = sim;
--- a/tests/sim-rules.c
+++ b/tests/sim-rules.c
@@ -5,6 +5,8 @@
 #include <string.h>
 
 #define FORGOTTEN_S 75.0
+#define FORGOTTEN_AMONG_OTHERS_S 90.0
+#define ANSWERED_LATELY_S 20.0
 #define LEFT_WAITING_S 90.0
 
 static gboolean
@@ -13,6 +15,28 @@
   return task->state >= 1 && task->state <= 3;
 }
 
+/* While faults last: no question about a job is answered, though most others get answers. */
+static void
+check_silence (Sim *sim)
+{
+  guint accepted = 0, answered_lately = 0;
+  for (guint i = 0; i < sim->jobs->len; i++)
+    {
+      const SimJob *job = sim->jobs->pdata[i];
+      accepted += job->accepted;
+      answered_lately += job->accepted && sim->now - job->answered_at < ANSWERED_LATELY_S;
+    }
+  for (guint i = 0; i < sim->jobs->len && 2 * answered_lately > accepted; i++)
+    {
+      SimJob *job = sim->jobs->pdata[i];
+      if (!job->accepted || sim->now - job->answered_at < FORGOTTEN_AMONG_OTHERS_S)
+        continue;
+      sim_broken (sim, "forgotten", "no question about %s is answered since %.0f; its user was told:\n%s", job->uid,
+                  job->answered_at, job->history->str);
+      job->answered_at = sim->now; /* said once */
+    }
+}
+
 /* What is looked at once all troubles are over. */
 void
 sim_check_end (Sim *sim)
@@ -21,7 +45,8 @@
     {
       const SimJob *job = sim->jobs->pdata[i];
       if (job->accepted && sim->now - job->answered_at > FORGOTTEN_S)
-        sim_broken (sim, "forgotten", "no question about %s is answered since %.0f", job->uid, job->answered_at);
+        sim_broken (sim, "forgotten", "no question about %s is answered since %.0f; its user was told:\n%s", job->uid,
+                    job->answered_at, job->history->str);
     }
   for (guint i = 0; i < sim->jobs->len; i++)
     {
@@ -172,6 +197,11 @@
         }
     }
   count_replicas (sim);
+  if (sim->now >= sim->next_silence_check)
+    {
+      check_silence (sim);
+      sim->next_silence_check = sim->now + 1;
+    }
   if (sim->calm_at > 0 && sim->now >= sim->calm_at && sim->now >= sim->next_wait_check)
     {
       check_waiting (sim, teams);
--- a/tests/sim-store.c
+++ b/tests/sim-store.c
@@ -38,6 +38,15 @@
   double until;
 } Watcher;
 
+/* The changes after that revision are not all kept any more. */
+static gboolean
+changes_are_lost (const Sim *sim, guint64 after)
+{
+  guint kept = sim->size.kept_changes;
+  return kept && sim->history->len > kept
+         && after < ((const Change *) sim->history->pdata[sim->history->len - kept - 1])->version;
+}
+
 static char *
 watch_body (Sim *sim, const char *prefix, guint64 after, gboolean *any)
 {
@@ -380,6 +389,13 @@
       watcher->prefix = sim_query (call->path, "starts");
       watcher->after = g_ascii_strtoull (after, NULL, 10);
       watcher->until = sim->now + g_ascii_strtod (wait, NULL) / 1000;
+      if (changes_are_lost (sim, watcher->after))
+        {
+          g_free (watcher->prefix);
+          g_free (watcher);
+          sim_answer (sim, call, 410, NULL);
+          return;
+        }
       g_ptr_array_add (sim->watchers, watcher);
       sim_at (sim, watcher->until, watch_over, NULL);
       wake_watchers (sim);
--- a/tests/sim-user.c
+++ b/tests/sim-user.c
@@ -16,14 +16,33 @@
 
 static void user_step (Sim *sim, gpointer data);
 
+/* Whether it is an answer, and not a request to come back. */
+static gboolean
+is_answer (guint status)
+{
+  return status == 200 || status == 201 || status == 400 || status == 404 || status == 422;
+}
+
+static void
+note_told (Sim *sim, SimJob *job, guint status, const char *state)
+{
+  if (status != job->last_status)
+    g_string_append_printf (job->history, "  %.2f: %u %s\n", sim->now, status, state ? state : "");
+  job->last_status = status;
+  if (!is_answer (status))
+    return;
+  if (job->accepted)
+    job->longest_silence_s = MAX (job->longest_silence_s, sim->now - job->answered_at);
+  job->answered_at = sim->now;
+}
+
 void
 sim_told (Sim *sim, SimJob *job, guint status, const char *state)
 {
   gboolean all = TRUE;
   for (guint i = 0; i < job->n; i++)
     all = all && job->finished[i];
-  if (status == 200 || status == 201 || status == 400 || status == 404 || status == 422)
-    job->answered_at = sim->now;
+  note_told (sim, job, status, state);
   if (status == 200 || status == 201)
     {
       gboolean done = g_strcmp0 (state, "done") == 0, cancelled = g_strcmp0 (state, "cancelled") == 0;
@@ -47,7 +66,7 @@
       return;
     }
   else if (job->accepted && (status == 404 || status == 400 || status == 422))
-    sim_broken (sim, "forgotten", "%s got %u", job->uid, status);
+    sim_broken (sim, "forgotten", "%s got %u; its user was told:\n%s", job->uid, status, job->history->str);
 }
 
 static void
@@ -111,6 +130,8 @@
     }
   else
     exchange->path = g_strdup_printf ("/api/jobs/%s%s", job->uid, call->what == USER_CANCELS ? "/cancel" : "");
+  if (call->what == USER_CANCELS && !job->asked_cancel)
+    g_string_append_printf (job->history, "  %.2f: its user asks to cancel it\n", sim->now);
   if (call->what == USER_CANCELS)
     job->asked_cancel = TRUE;
   exchange->length = strlen (exchange->body);
@@ -147,6 +168,7 @@
   job->spot = TRUE;
   job->submit_at = at;
   job->finished = g_new0 (guchar, n);
+  job->history = g_string_new (NULL);
   g_ptr_array_add (sim->jobs, job);
   g_hash_table_insert (sim->by_uid, job->uid, job);
   sim_at (sim, at, user_step, job);
--- /dev/null
+++ b/tests/test-forgotten.c
@@ -0,0 +1,173 @@
+/* Large fleets under faults: no accepted job is forgotten. A question about it is never answered 404, and some question
+ * about it is answered within 75 s once the faults are over, and within 90 s while most others get answers. */
+#include "sim-faults.h"
+
+static const SimSize large = { .machines = 1500,
+                               .teams = 8,
+                               .team_max = 3000,
+                               .team_guarantee = 800,
+                               .report_s = 5,
+                               .lease_s = 26.5,
+                               .cancel_s = 46.5,
+                               .store_rps = 800,
+                               .store_write_rps = 70,
+                               .txn_ops = 16,
+                               .cloud_rps = 15,
+                               .rows = 500,
+                               .check_s = 0.5,
+                               .kept_changes = 10000 };
+
+/* While leaders end: a change takes some 5 s, and a third of the questions go to a node that is down. */
+#define LONGEST_SILENCE_S 45.0
+
+static Sim *
+large_fleet (guint32 seed, guint machines, guint jobs, double run_s)
+{
+  Sim *sim = sim_new_sized (seed, &large);
+  for (guint i = 0; i < machines; i++)
+    sim_add_machine (sim, i % 3 ? "small" : "big", i % 2 ? "za" : "zb", TRUE, g_rand_double_range (sim->rand, 1, 5));
+  for (guint i = 0; i < jobs; i++)
+    {
+      g_autofree char *team = i % 8 < 2 ? g_strdup (i % 8 ? "blue" : "red") : g_strdup_printf ("team-%02u", i % 8);
+      sim_add_job (sim, 1 + 10.0 * i / jobs, team, (guint) g_rand_int_range (sim->rand, 10, 60), 1,
+                   g_rand_double_range (sim->rand, 0.5 * run_s, 1.5 * run_s))
+          ->spot = TRUE;
+    }
+  sim_run (sim, 25);
+  expect_no_fault (sim, "a large fleet at work", seed);
+  return sim;
+}
+
+static double
+longest_silence_s (const Sim *sim, const SimJob **of)
+{
+  double longest = 0;
+  for (guint i = 0; i < sim->jobs->len; i++)
+    {
+      const SimJob *job = sim->jobs->pdata[i];
+      if (job->longest_silence_s > longest)
+        {
+          longest = job->longest_silence_s;
+          *of = job;
+        }
+    }
+  return longest;
+}
+
+static void
+end_leader (Sim *sim, gpointer data)
+{
+  int leader = sim_leader (sim);
+  if (leader >= 0)
+    sim_crash (sim, (guint) leader);
+  sim_at (sim, sim->now + 5, start_all, NULL);
+}
+
+static void
+resume_machine (Sim *sim, gpointer machine)
+{
+  ((SimMachine *) machine)->hung = FALSE;
+}
+
+/* What happens to some machine of a large fleet every second or two. */
+static void
+hang_machine (Sim *sim, gpointer data)
+{
+  SimMachine *machine = sim->machines->pdata[g_rand_int_range (sim->rand, 0, (gint32) sim->machines->len)];
+  machine->hung = TRUE;
+  sim_at (sim, sim->now + 34.5, resume_machine, machine);
+}
+
+/* Leaders end one after another; machines hang meanwhile, and users cancel a third of the jobs. */
+static void
+play_changes_of_leader (guint32 seed, guint machines)
+{
+  Sim *sim = large_fleet (seed, machines, machines / 12, 150);
+  const SimJob *job = NULL;
+  double until = 150, longest;
+  for (double at = 26; at < until; at += g_rand_double_range (sim->rand, 9, 16))
+    sim_at (sim, at, end_leader, NULL);
+  for (double at = 25; at < until; at += 1.5)
+    sim_at (sim, at, hang_machine, NULL);
+  for (guint i = 0; i < sim->jobs->len; i += 3)
+    {
+      SimJob *cancelled = sim->jobs->pdata[i];
+      cancelled->wants_cancel = TRUE;
+      cancelled->cancel_at = g_rand_double_range (sim->rand, 30, 60);
+    }
+  sim_run (sim, until + 10);
+  longest = longest_silence_s (sim, &job);
+  g_test_message ("%u machines, seed %u: the longest time without an answer is %.1f s, about %s:\n%s", machines, seed,
+                  longest, job ? job->uid : "none", job ? job->history->str : "");
+  expect_no_fault (sim, "changes of leader", seed);
+  g_assert_cmpfloat (longest, <, LONGEST_SILENCE_S);
+  start_all (sim, NULL);
+  sim_run (sim, 700);
+  expect_all_over (sim, "changes of leader", seed);
+  sim_free (sim);
+}
+
+static void
+test_changes_of_leader (void)
+{
+  for (guint32 seed = 300; seed < 303; seed++)
+    play_changes_of_leader (seed, 600);
+  play_changes_of_leader (303, 1500);
+}
+
+static gboolean
+a_leader_loads (const Sim *sim)
+{
+  for (guint i = 0; i < SIM_NODES; i++)
+    if (sim->nodes[i].controller && sim->nodes[i].controller->ownership == HZB_OWNERSHIP_LOADING)
+      return TRUE;
+  return FALSE;
+}
+
+/* Jobs are cancelled while nobody leads, and the next leader can't read its records for longer than a cancellation may
+ * take: users are told, since every controller knows, and nothing of these jobs runs on. */
+static void
+test_cancelled_while_records_are_read (void)
+{
+  guint told = 0;
+  for (guint32 seed = 320; seed < 328; seed++)
+    {
+      Sim *sim = sim_new (seed);
+      guint leader;
+      for (guint i = 0; i < 8; i++)
+        sim_add_job (sim, 1 + 0.2 * i, i % 2 ? "red" : "blue", 4, 1.5, 120);
+      sim_run (sim, 20);
+      leader = (guint) MAX (sim_leader (sim), 0);
+      sim_crash (sim, leader);
+      sim_start (sim, leader);
+      for (guint i = 0; i < sim->jobs->len; i++)
+        {
+          ((SimJob *) sim->jobs->pdata[i])->wants_cancel = TRUE;
+          ((SimJob *) sim->jobs->pdata[i])->cancel_at = sim->now;
+        }
+      while (!a_leader_loads (sim) && sim->now < 40)
+        sim_run (sim, sim->now + 0.001);
+      g_assert_true (a_leader_loads (sim));
+      sim->outage = TRUE;
+      sim_run (sim, sim->now + sim->size.cancel_s + 15);
+      g_assert_true (a_leader_loads (sim));
+      for (guint i = 0; i < sim->jobs->len; i++)
+        told += ((SimJob *) sim->jobs->pdata[i])->told_cancelled;
+      g_test_message ("seed %u: %u told", seed, told);
+      sim->outage = FALSE;
+      sim_run (sim, sim->now + 500);
+      expect_all_over (sim, "cancelled while records are read", seed);
+      sim_free (sim);
+    }
+  g_assert_cmpuint (told, >, 8);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_log_set_always_fatal (G_LOG_LEVEL_ERROR);
+  g_test_add_func ("/forgotten/changes-of-leader", test_changes_of_leader);
+  g_test_add_func ("/forgotten/cancelled-while-records-are-read", test_cancelled_while_records_are_read);
+  return g_test_run ();
+}
