What a node asks about cancellations goes around: 64 that can't be acknowledged hold up no others

Cause, from reading: 64 requests go with a message, always those at the head of the queue, and each question of a user keeps its request alive. 64 that can't be acknowledged for long keep all later ones unsent, and their users get 503.

What goes with a message is now last in the next, and what was never asked goes first.

--- a/src/cancellations.c
+++ b/src/cancellations.c
@@ -15,6 +15,7 @@
 #include "controller.h"
 
 #define MAX_REQUESTS_PER_MESSAGE 64u
+#define REQUEST_KEPT_S 10.0 /* its user comes back by then */
 #define READ_EVERY_S 1.0
 #define OLD_LEADER_S 4.5 /* a watch of version 1 is renewed within 4 s */
 
@@ -28,7 +29,7 @@
 struct _HzbCancellations
 {
   HzbController *controller;
-  GQueue requests; /* Asked */
+  GQueue requests; /* PendingRequest, the one that was asked longest ago first */
   gboolean reading;
   struct timespec next_read;
 };
@@ -99,69 +100,82 @@
   return job->cancel_acknowledged;
 }
 
+static PendingRequest *
+find_request (const HzbCancellations *cancellations, const char *uid)
+{
+  for (GList *l = cancellations->requests.head; l; l = l->next)
+    if (g_str_equal (((PendingRequest *) l->data)->uid, uid))
+      return l->data;
+  return NULL;
+}
+
 gboolean
 hzb_cancellations_request (HzbCancellations *cancellations, HzbJob *job)
 {
   HzbController *controller = cancellations->controller;
   struct timespec now = hzb_clock_now (controller->clock);
-  PendingRequest *requests = NULL;
+  PendingRequest *request;
 
   if (hzb_election_leading (controller->election))
     return controller->ownership >= HZB_OWNERSHIP_RECOVERING;
-  for (GList *l = cancellations->requests.head; l && !requests; l = l->next)
-    if (g_str_equal (((PendingRequest *) l->data)->uid, job->uid))
-      requests = l->data;
-  if (!requests)
+  request = find_request (cancellations, job->uid);
+  if (!request)
     {
-      requests = g_new0 (PendingRequest, 1);
-      requests->uid = g_strdup (job->uid);
-      requests->known = now;
-      g_queue_push_tail (&cancellations->requests, requests);
+      request = g_new0 (PendingRequest, 1);
+      request->uid = g_strdup (job->uid);
+      request->known = now;
+      g_queue_push_head (&cancellations->requests, request); /* it was never asked */
     }
-  requests->until = hzb_time_plus (now, 10); /* its user comes back */
+  request->until = hzb_time_plus (now, REQUEST_KEPT_S);
   hzb_lessee_poll_soon (controller->lessee);
   return hzb_election_leader (controller->election)
          && !hzb_peers_unreachable (controller->peers, hzb_election_leader (controller->election));
 }
 
+static cJSON *
+pack_pending (const HzbJob *job)
+{
+  cJSON *item = cJSON_CreateObject ();
+  hzb_json_add_u64 (item, "version", job->version);
+  cJSON_AddNumberToObject (item, "n", job->n_tasks);
+  return item;
+}
+
+/* Guards against requests that can't be acknowledged for long and keep all later ones from being sent: what goes with
+ * this message is last with the next. */
 cJSON *
 hzb_cancellations_pack_request (HzbCancellations *cancellations)
 {
   HzbController *controller = cancellations->controller;
   struct timespec now = hzb_clock_now (controller->clock);
-  cJSON *question = NULL;
-  guint n = 0;
+  cJSON *message = NULL;
+  guint packed = 0;
 
-  for (GList *l = cancellations->requests.head; l;)
+  for (guint left = cancellations->requests.length; left && packed < MAX_REQUESTS_PER_MESSAGE; left--)
     {
-      GList *next = l->next;
-      PendingRequest *requests = l->data;
-      HzbJob *job = hzb_jobs_find (controller->jobs, requests->uid);
-      if (!job || job->cancel_acknowledged || hzb_time_before (requests->until, now))
+      PendingRequest *request = g_queue_pop_head (&cancellations->requests);
+      const HzbJob *job = hzb_jobs_find (controller->jobs, request->uid);
+      if (!job || job->cancel_acknowledged || hzb_time_before (request->until, now))
         {
-          pending_request_free (requests);
-          g_queue_delete_link (&cancellations->requests, l);
+          pending_request_free (request);
+          continue;
         }
-      else if (n < MAX_REQUESTS_PER_MESSAGE && mirror_has (controller, job))
-        {
-          cJSON *of = cJSON_CreateObject ();
-          hzb_json_add_u64 (of, "version", job->version);
-          cJSON_AddNumberToObject (of, "n", job->n_tasks);
-          if (!question)
-            question = cJSON_CreateObject ();
-          cJSON_AddItemToObject (question, job->uid, of);
-          n++;
-        }
-      l = next;
+      g_queue_push_tail (&cancellations->requests, request);
+      if (!mirror_has (controller, job))
+        continue;
+      if (!message)
+        message = cJSON_CreateObject ();
+      cJSON_AddItemToObject (message, job->uid, pack_pending (job));
+      packed++;
     }
-  return question;
+  return message;
 }
 
 cJSON *
 hzb_cancellations_handle_request (HzbCancellations *cancellations, const cJSON *request)
 {
   HzbController *controller = cancellations->controller;
-  cJSON *last_report = cJSON_CreateArray ();
+  cJSON *acknowledged = cJSON_CreateArray ();
   const cJSON *of;
 
   cJSON_ArrayForEach (of, request)
@@ -179,9 +193,9 @@
           cJSON_Delete (record);
         }
       if (job && acknowledged_by_all (controller, job))
-        cJSON_AddItemToArray (last_report, cJSON_CreateString (job->uid));
+        cJSON_AddItemToArray (acknowledged, cJSON_CreateString (job->uid));
     }
-  return last_report;
+  return acknowledged;
 }
 
 static void
@@ -260,9 +274,9 @@
     return;
   for (GList *l = cancellations->requests.head; l; l = l->next)
     {
-      const PendingRequest *requests = l->data;
-      if (hzb_time_between (requests->known, served) > OLD_LEADER_S)
-        set_acknowledged (controller, requests->uid);
+      const PendingRequest *request = l->data;
+      if (hzb_time_between (request->known, served) > OLD_LEADER_S)
+        set_acknowledged (controller, request->uid);
     }
 }
 
--- a/tests/test-forgotten.c
+++ b/tests/test-forgotten.c
@@ -162,6 +162,55 @@
   g_assert_cmpuint (told, >, 8);
 }
 
+/* More cancellations than go with a message can't be acknowledged: one node is down, and no machine answers. One that can
+ * be does not wait behind them. */
+static void
+test_more_than_a_message (void)
+{
+  for (guint32 seed = 340; seed < 344; seed++)
+    {
+      Sim *sim = sim_new (seed);
+      SimJob *job;
+      g_autofree char *path = NULL;
+      guint follower, told = 0, status = 0;
+      for (guint i = 0; i < 90; i++)
+        sim_add_job (sim, 1 + 0.1 * i, i % 2 ? "red" : "blue", 1, 0.25, 300);
+      sim_run (sim, 25);
+      for (guint i = 0; i < sim->machines->len; i++)
+        ((SimMachine *) sim->machines->pdata[i])->cut = TRUE;
+      for (guint i = 0; i < sim->jobs->len; i++)
+        {
+          ((SimJob *) sim->jobs->pdata[i])->wants_cancel = TRUE;
+          ((SimJob *) sim->jobs->pdata[i])->cancel_at = sim->now;
+        }
+      sim_crash (sim, (guint) MAX (sim_leader (sim), 0));
+      while (sim_leader (sim) < 0 && sim->now < 40)
+        sim_run (sim, sim->now + 0.1);
+      job = sim_add_job (sim, sim->now, "red", 1, 0.25, 300);
+      path = g_strdup_printf ("/api/jobs/%s/cancel", job->uid);
+      while (!job->accepted && sim->now < 40)
+        sim_run (sim, sim->now + 0.1);
+      g_assert_true (job->accepted);
+      follower = (guint) sim_leader (sim);
+      for (guint i = 0; i < SIM_NODES; i++)
+        if (sim->nodes[i].controller && (int) i != sim_leader (sim))
+          follower = i;
+      job->asked_cancel = TRUE;
+      status = ask (sim, follower, "POST", path, "", NULL);
+      for (guint i = 0; i < 90; i++)
+        told += ((SimJob *) sim->jobs->pdata[i])->told_cancelled;
+      g_test_message ("seed %u: %u at %.1f, %u others told", seed, status, sim->now, told);
+      g_assert_cmpuint (told, <, 90 - 64);
+      g_assert_cmpuint (status, ==, 200);
+      start_all (sim, NULL);
+      for (guint i = 0; i < sim->machines->len; i++)
+        ((SimMachine *) sim->machines->pdata[i])->cut = FALSE;
+      sim_run (sim, 200);
+      expect_all_over (sim, "more than a message", seed);
+      sim_free (sim);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -169,5 +218,6 @@
   g_log_set_always_fatal (G_LOG_LEVEL_ERROR);
   g_test_add_func ("/forgotten/changes-of-leader", test_changes_of_leader);
   g_test_add_func ("/forgotten/cancelled-while-records-are-read", test_cancelled_while_records_are_read);
+  g_test_add_func ("/forgotten/more-than-a-message", test_more_than_a_message);
   return g_test_run ();
 }
