--- /dev/null
+++ b/tests/test-store.c
@@ -0,0 +1,241 @@
+/* The client of the state service: no caller waits for ever, and none behind what it does not need. */
+#include "support.h"
+
+#include "fake-transport.h"
+#include "store.h"
+
+#define STEP_S 0.05
+
+typedef struct
+{
+  HzbSettings *settings;
+  HzbClock *clock;
+  FakeTransport transport;
+  HzbStore *store;
+  GRand *rand;
+} Fixture;
+
+static void
+fixture_up (Fixture *fixture, guint32 seed, double rps, double write_rps)
+{
+  fixture->settings = test_settings ();
+  fixture->settings->store_rps = rps;
+  fixture->settings->store_write_rps = write_rps;
+  fixture->clock = hzb_clock_new_manual ();
+  fake_transport_init (&fixture->transport, fixture->clock);
+  fixture->store = hzb_store_new (&fixture->transport.parent, fixture->clock, fixture->settings);
+  fixture->rand = g_rand_new_with_seed (seed);
+}
+
+static void
+fixture_down (Fixture *fixture)
+{
+  g_queue_clear_full (&fixture->transport.calls, (GDestroyNotify) fake_call_free);
+  hzb_store_free (fixture->store);
+  hzb_clock_free (fixture->clock);
+  hzb_settings_free (fixture->settings);
+  g_rand_free (fixture->rand);
+}
+
+static void
+step (Fixture *fixture)
+{
+  hzb_clock_advance (fixture->clock, STEP_S);
+  hzb_store_pump (fixture->store);
+}
+
+/* What one caller was told. */
+typedef struct
+{
+  guint told;
+  HzbStoreResult result;
+  struct timespec asked, at;
+  HzbClock *clock;
+} Caller;
+
+static void
+on_told (HzbStoreResult result, const char *body, gpointer user)
+{
+  Caller *caller = user;
+  caller->told++;
+  caller->result = result;
+  caller->at = hzb_clock_now (caller->clock);
+}
+
+static Caller *
+caller_new (Fixture *fixture, GPtrArray *callers)
+{
+  Caller *caller = g_new0 (Caller, 1);
+  caller->clock = fixture->clock;
+  caller->asked = hzb_clock_now (fixture->clock);
+  g_ptr_array_add (callers, caller);
+  return caller;
+}
+
+static void
+put (Fixture *fixture, HzbStorePriority priority, Caller *caller)
+{
+  cJSON *txn = hzb_wire_txn ();
+  hzb_wire_txn_put (txn, "a/b", cJSON_CreateObject (), 0);
+  hzb_store_txn (fixture->store, priority, txn, on_told, caller);
+}
+
+static void
+answer_all (Fixture *fixture)
+{
+  FakeCall *call;
+  while ((call = g_queue_peek_head (&fixture->transport.calls)))
+    fake_answer (&fixture->transport, call, 200, "{\"epoch\":5,\"news\":[]}");
+}
+
+/* Twice as many changes are wanted as the budget allows, all the time: questions are answered as if there were none. */
+static void
+test_reads_beside_changes (void)
+{
+  Fixture fixture;
+  g_autoptr (GPtrArray) reads = g_ptr_array_new_with_free_func (g_free),
+                        writes = g_ptr_array_new_with_free_func (g_free);
+  guint changed = 0;
+
+  fixture_up (&fixture, 1, 400, 10);
+  for (guint i = 0; i < 600; i++)
+    {
+      if (i % 2)
+        put (&fixture, HZB_STORE_ACCEPT, caller_new (&fixture, writes));
+      if (i % 10 == 0)
+        hzb_store_news (fixture.store, "a/", 4, on_told, caller_new (&fixture, reads));
+      answer_all (&fixture);
+      step (&fixture);
+    }
+  answer_all (&fixture);
+  for (guint i = 0; i < reads->len; i++)
+    {
+      const Caller *caller = reads->pdata[i];
+      g_assert_cmpuint (caller->told, ==, 1);
+      g_assert_cmpint (caller->result, ==, HZB_STORE_OK);
+      g_assert_cmpfloat (hzb_time_between (caller->asked, caller->at), <, 0.3);
+    }
+  for (guint i = 0; i < writes->len; i++)
+    {
+      const Caller *caller = writes->pdata[i];
+      changed += caller->told && caller->result == HZB_STORE_OK;
+    }
+  /* And the changes have their budget: 30 s of 0.6 times 10, and what was saved up at the start. */
+  g_assert_cmpuint (changed, >=, 170);
+  g_assert_cmpuint (changed, <=, 180 + 24);
+  fixture_down (&fixture);
+}
+
+/* The service takes fewer requests than there are acceptances: a question has its turn, and so has an acceptance. */
+static void
+test_few_requests (void)
+{
+  Fixture fixture;
+  g_autoptr (GPtrArray) reads = g_ptr_array_new_with_free_func (g_free),
+                        writes = g_ptr_array_new_with_free_func (g_free);
+  guint answered = 0, changed = 0;
+
+  fixture_up (&fixture, 2, 10, 100);
+  for (guint i = 0; i < 600; i++)
+    {
+      put (&fixture, HZB_STORE_ACCEPT, caller_new (&fixture, writes));
+      if (i % 20 == 0)
+        hzb_store_news (fixture.store, "a/", 4, on_told, caller_new (&fixture, reads));
+      answer_all (&fixture);
+      step (&fixture);
+    }
+  for (guint i = 0; i < reads->len; i++)
+    answered += ((Caller *) reads->pdata[i])->result == HZB_STORE_OK && ((Caller *) reads->pdata[i])->told;
+  for (guint i = 0; i < writes->len; i++)
+    changed += ((Caller *) writes->pdata[i])->result == HZB_STORE_OK && ((Caller *) writes->pdata[i])->told;
+  g_assert_cmpuint (answered, >=, reads->len - 2);
+  g_assert_cmpuint (changed, >=, 100);
+  fixture_down (&fixture);
+}
+
+static void
+random_request (Fixture *fixture, GPtrArray *callers)
+{
+  HzbStorePriority priority = (HzbStorePriority) g_rand_int_range (fixture->rand, 0, HZB_STORE_N_PRIORITIES);
+  switch (g_rand_int_range (fixture->rand, 0, 4))
+    {
+    case 0:
+      hzb_store_get (fixture->store, priority, "a/b", on_told, caller_new (fixture, callers));
+      break;
+    case 1:
+      hzb_store_range (fixture->store, "a/", NULL, on_told, caller_new (fixture, callers));
+      break;
+    case 2:
+      hzb_store_news (fixture->store, "a/", 4, on_told, caller_new (fixture, callers));
+      break;
+    default:
+      put (fixture, priority, caller_new (fixture, callers));
+      break;
+    }
+}
+
+/* Some calls are answered, in any order; what is not by its deadline ends without an answer. */
+static void
+random_answers (Fixture *fixture)
+{
+  static const guint statuses[] = { 200, 200, 404, 409, 410, 429, 429, 503, 500, 0 };
+  struct timespec now = hzb_clock_now (fixture->clock);
+  guint n = g_queue_get_length (&fixture->transport.calls);
+  for (guint i = 0; i < n; i++)
+    {
+      FakeCall *call = g_queue_peek_nth (&fixture->transport.calls,
+                                         (guint) g_rand_int_range (fixture->rand, 0, (gint32) n - (gint32) i));
+      if (hzb_time_before (call->deadline, now))
+        fake_answer (&fixture->transport, call, 0, "");
+      else if (g_rand_double (fixture->rand) < 0.1)
+        fake_answer (&fixture->transport, call, statuses[g_rand_int_range (fixture->rand, 0, G_N_ELEMENTS (statuses))],
+                     "{}");
+    }
+  for (GList *l = fixture->transport.calls.head, *next; l; l = next)
+    {
+      next = l->next;
+      if (hzb_time_before (((FakeCall *) l->data)->deadline, now))
+        fake_answer (&fixture->transport, l->data, 0, "");
+    }
+}
+
+/* Whatever is asked, at whatever rates, and whatever becomes of it: each caller is told once, in twice its time. */
+static void
+test_each_caller_is_told (void)
+{
+  for (guint32 seed = 10; seed < 40; seed++)
+    {
+      Fixture fixture;
+      g_autoptr (GPtrArray) callers = g_ptr_array_new_with_free_func (g_free);
+      fixture_up (&fixture, seed, seed % 3 ? 200 : 4, seed % 2 ? 60 : 3);
+      for (guint i = 0; i < 400; i++)
+        {
+          for (gint32 n = g_rand_int_range (fixture.rand, 0, 5); n > 0; n--)
+            random_request (&fixture, callers);
+          random_answers (&fixture);
+          step (&fixture);
+        }
+      for (guint i = 0; i < 200; i++)
+        {
+          random_answers (&fixture);
+          step (&fixture);
+        }
+      for (guint i = 0; i < callers->len; i++)
+        {
+          const Caller *caller = callers->pdata[i];
+          g_assert_cmpuint (caller->told, ==, 1);
+          g_assert_cmpfloat (hzb_time_between (caller->asked, caller->at), <, 2 * 4 + 2 * STEP_S);
+        }
+      fixture_down (&fixture);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/store/reads-beside-changes", test_reads_beside_changes);
+  g_test_add_func ("/store/few-requests", test_few_requests);
+  g_test_add_func ("/store/each-caller-is-told", test_each_caller_is_told);
+  return g_test_run ();
+}
