Mirror: replies of an earlier reading are dropped, each change is taken once, reading all keeps what it has

Cause, from reading: replies named no reading. A page of an earlier one joined the next, moved its cursor and ended it early; a sync that came late took the revision back and forth and applied changes again. A page that failed threw away all that had been read, and a reading that took longer than the changes that the service keeps began anew for ever; a question that got 410 told nobody; news that never came in time were asked for for ever.

What of it can happen in a controller: with one watch at a time a reset never met a page on its way, since only that watch resets; the late sync, the reading thrown away and the news that do not come can.

Now each request names the reading that it belongs to; changes are applied by their versions; a page that did not come is asked for again; between two pages come the changes since the one before; 410 to a question resets as to a watch; and after five watches without an answer, though others get one, all is read in pages.

--- a/src/mirror.c
+++ b/src/mirror.c
@@ -1,8 +1,19 @@
 #include "mirror.h"
 
 #define FRESH_SLACK_S 2.0   /* beyond the time that a watch takes */
-#define RELOAD_PAUSE_S 0.4  /* after a reading that failed */
+#define RELOAD_PAUSE_S 0.4  /* after a page that did not come */
 #define REWATCH_PAUSE_S 0.3 /* after a watch that failed */
+/* Guards against news that never come in time, being too many: after so many watches without an answer, though the
+ * service answers other calls, all is read anew in pages. */
+#define MAX_LOST_WATCHES 5u
+#define SERVED_LATELY_S 2.0
+
+/* What the reading of all records does next. */
+typedef enum
+{
+  LOAD_PAGE,    /* the keys after the last one read */
+  LOAD_CHANGES, /* what has changed meanwhile */
+} LoadStep;
 
 struct _HzbMirror
 {
@@ -13,17 +24,47 @@
   gpointer user;
 
   HzbMirrorState state; /* changed by set_state() only */
+  guint64 generation;   /* raised when all is read anew: what was asked before that is not taken any more */
   guint64 revision;
   gboolean watching;
+  guint lost_watches; /* in a row */
   double watch_interval_s;
   struct timespec next_watch;
   struct timespec last_watch, next_step;
   /* of the reading under way: */
-  guint64 load_revision; /* of its first page: changes since then are brought by the watch */
+  LoadStep load_step;
+  gboolean load_asked;
+  guint64 load_revision; /* of its first page, or of the changes that were read since; 0: there was no page yet */
   char *load_cursor;     /* the last key read */
 };
 
+/* A request, and what it was asked for. */
+typedef struct
+{
+  HzbMirror *mirror;
+  guint64 generation;
+  HzbSyncFunc done; /* of a sync */
+  gpointer user;
+} Call;
+
 static void step (HzbMirror *mirror);
+static void ask_for_load (HzbMirror *mirror);
+
+static Call *
+call_new (HzbMirror *mirror)
+{
+  Call *call = g_new0 (Call, 1);
+  call->mirror = mirror;
+  call->generation = mirror->generation;
+  return call;
+}
+
+/* Guards against replies that outlive what they were asked for: of an earlier reading, or of before everything was lost. */
+static gboolean
+is_current (const Call *call)
+{
+  return call->generation == call->mirror->generation;
+}
 
 /* Allowed: empty -> loading -> following, and back to empty from both. */
 static void
@@ -36,50 +77,136 @@
   };
   g_return_if_fail (legal[mirror->state] & 1u << to);
   mirror->state = to;
+  if (to == HZB_MIRROR_EMPTY)
+    {
+      mirror->generation++;
+      mirror->watching = mirror->load_asked = FALSE;
+      mirror->lost_watches = 0;
+    }
 }
 
 static void
-apply_all (HzbMirror *mirror, const GArray *items)
+apply_page (HzbMirror *mirror, const GArray *items)
 {
   for (guint i = 0; i < items->len; i++)
     mirror->funcs.apply (&g_array_index (items, HzbItem, i), mirror->user);
 }
 
+/* Each change once, in their order: what a watch has brought, a sync that was sent before it may bring again.
+ * Returns: up to where they go. */
+static guint64
+apply_changes (HzbMirror *mirror, const GArray *items, guint64 applied, guint64 revision)
+{
+  for (guint i = 0; i < items->len; i++)
+    {
+      const HzbItem *item = &g_array_index (items, HzbItem, i);
+      if (item->version > applied)
+        mirror->funcs.apply (item, mirror->user);
+    }
+  return MAX (applied, revision);
+}
+
+/* ---- reading all ---- */
+
+static void
+ask_again_later (HzbMirror *mirror)
+{
+  mirror->next_step = hzb_time_plus (hzb_clock_now (mirror->clock), RELOAD_PAUSE_S);
+}
+
 static void
-on_loaded (HzbStoreResult result, const char *body, gpointer user)
+finish_load (HzbMirror *mirror)
 {
-  HzbMirror *mirror = user;
+  mirror->revision = MAX (mirror->revision, mirror->load_revision);
+  set_state (mirror, HZB_MIRROR_FOLLOWING);
+  mirror->last_watch = hzb_clock_now (mirror->clock);
+  mirror->funcs.load_end (mirror->revision, mirror->user);
+  g_message ("the mirror has been read, at revision %" G_GUINT64_FORMAT, mirror->revision);
+  step (mirror);
+}
+
+static void
+on_page (HzbStoreResult result, const char *body, gpointer user)
+{
+  g_autofree Call *call = user;
+  HzbMirror *mirror = call->mirror;
   gboolean more = FALSE;
   guint64 revision = 0;
-  g_autoptr (GArray) items = result == HZB_STORE_OK ? hzb_wire_parse_range (body, &more, &revision) : NULL;
+  g_autoptr (GArray) items = NULL;
 
-  if (mirror->state != HZB_MIRROR_LOADING)
-    return; /* it was reset meanwhile */
+  if (!is_current (call))
+    return;
+  mirror->load_asked = FALSE;
+  items = result == HZB_STORE_OK ? hzb_wire_parse_range (body, &more, &revision) : NULL;
   if (!items)
     {
-      set_state (mirror, HZB_MIRROR_EMPTY);
-      mirror->next_step = hzb_time_plus (hzb_clock_now (mirror->clock), RELOAD_PAUSE_S);
+      ask_again_later (mirror);
       return;
     }
-  if (!mirror->load_cursor)
+  if (!mirror->load_revision)
     mirror->load_revision = revision;
-  apply_all (mirror, items);
-  if (items->len)
+  apply_page (mirror, items);
+  if (!more || !items->len)
+    {
+      finish_load (mirror);
+      return;
+    }
+  g_free (mirror->load_cursor);
+  mirror->load_cursor = g_strdup (g_array_index (items, HzbItem, items->len - 1).key);
+  mirror->load_step = LOAD_CHANGES;
+  ask_for_load (mirror);
+}
+
+static void
+on_load_changes (HzbStoreResult result, const char *body, gpointer user)
+{
+  g_autofree Call *call = user;
+  HzbMirror *mirror = call->mirror;
+  guint64 revision = 0;
+  g_autoptr (GArray) items = NULL;
+
+  if (!is_current (call))
+    return;
+  mirror->load_asked = FALSE;
+  if (result == HZB_STORE_ABSENT)
     {
-      g_free (mirror->load_cursor);
-      mirror->load_cursor = g_strdup (g_array_index (items, HzbItem, items->len - 1).key);
+      g_message ("the changes since a page are not kept any more: all records are read anew");
+      set_state (mirror, HZB_MIRROR_EMPTY);
+      ask_again_later (mirror);
+      return;
     }
-  if (more && items->len)
+  items = result == HZB_STORE_OK ? hzb_wire_parse_watch (body, &revision) : NULL;
+  if (!items)
     {
-      hzb_store_range (mirror->store, mirror->prefix, mirror->load_cursor, on_loaded, mirror);
+      ask_again_later (mirror);
       return;
     }
-  mirror->revision = mirror->load_revision;
-  set_state (mirror, HZB_MIRROR_FOLLOWING);
-  mirror->last_watch = hzb_clock_now (mirror->clock);
-  mirror->funcs.load_end (mirror->revision, mirror->user);
-  g_message ("the mirror has been read, at revision %" G_GUINT64_FORMAT, mirror->revision);
-  step (mirror);
+  mirror->load_revision = apply_changes (mirror, items, mirror->load_revision, revision);
+  mirror->load_step = LOAD_PAGE;
+  ask_for_load (mirror);
+}
+
+/* Page by page. What did not come is asked for again, and what has been read stays. Between two pages come the changes
+ * since the one before, so that it does not matter how long reading all takes: the service keeps only so many. */
+static void
+ask_for_load (HzbMirror *mirror)
+{
+  mirror->load_asked = TRUE;
+  if (mirror->load_step == LOAD_PAGE)
+    hzb_store_range (mirror->store, mirror->prefix, mirror->load_cursor, on_page, call_new (mirror));
+  else
+    hzb_store_news (mirror->store, mirror->prefix, mirror->load_revision, on_load_changes, call_new (mirror));
+}
+
+static void
+begin_load (HzbMirror *mirror)
+{
+  set_state (mirror, HZB_MIRROR_LOADING);
+  mirror->funcs.load_begin (mirror->user);
+  g_clear_pointer (&mirror->load_cursor, g_free);
+  mirror->load_revision = 0;
+  mirror->load_step = LOAD_PAGE;
+  ask_for_load (mirror);
 }
 
 void
@@ -89,65 +216,80 @@
   mirror->funcs.lost (mirror->user);
 }
 
+/* ---- following ---- */
+
+static void
+watch_failed (HzbMirror *mirror, HzbStoreResult result)
+{
+  mirror->next_step = hzb_time_plus (hzb_clock_now (mirror->clock), REWATCH_PAUSE_S);
+  if (result != HZB_STORE_UNKNOWN)
+    return;
+  if (hzb_store_silence (mirror->store) > SERVED_LATELY_S)
+    mirror->lost_watches = 0; /* nothing comes through */
+  else if (++mirror->lost_watches >= MAX_LOST_WATCHES)
+    hzb_mirror_reset (mirror);
+}
+
 static void
 on_watched (HzbStoreResult result, const char *body, gpointer user)
 {
-  HzbMirror *mirror = user;
+  g_autofree Call *call = user;
+  HzbMirror *mirror = call->mirror;
   guint64 revision = 0;
-  g_autoptr (GArray) items = result == HZB_STORE_OK ? hzb_wire_parse_watch (body, &revision) : NULL;
+  g_autoptr (GArray) items = NULL;
 
+  if (!is_current (call))
+    return;
   mirror->watching = FALSE;
+  items = result == HZB_STORE_OK ? hzb_wire_parse_watch (body, &revision) : NULL;
   if (result == HZB_STORE_ABSENT)
     hzb_mirror_reset (mirror);
   else if (!items)
-    mirror->next_step = hzb_time_plus (hzb_clock_now (mirror->clock), REWATCH_PAUSE_S);
+    watch_failed (mirror, result);
   else
     {
-      apply_all (mirror, items);
-      mirror->revision = MAX (mirror->revision, revision);
+      mirror->revision = apply_changes (mirror, items, mirror->revision, revision);
       mirror->last_watch = hzb_clock_now (mirror->clock);
+      mirror->lost_watches = 0;
     }
   step (mirror);
 }
 
-typedef struct
-{
-  HzbMirror *mirror;
-  HzbSyncFunc done;
-  gpointer user;
-} Sync;
-
 static void
 on_synced (HzbStoreResult result, const char *body, gpointer user)
 {
-  g_autofree Sync *sync = user;
-  HzbMirror *mirror = sync->mirror;
+  g_autofree Call *call = user;
+  HzbMirror *mirror = call->mirror;
   guint64 revision = 0;
-  g_autoptr (GArray) items = result == HZB_STORE_OK ? hzb_wire_parse_watch (body, &revision) : NULL;
+  g_autoptr (GArray) items = NULL;
 
-  if (items)
+  if (!is_current (call))
     {
-      apply_all (mirror, items);
-      mirror->revision = MAX (mirror->revision, revision);
+      call->done (FALSE, call->user);
+      return;
     }
-  sync->done (items != NULL, sync->user);
+  items = result == HZB_STORE_OK ? hzb_wire_parse_watch (body, &revision) : NULL;
+  if (items)
+    mirror->revision = apply_changes (mirror, items, mirror->revision, revision);
+  else if (result == HZB_STORE_ABSENT)
+    hzb_mirror_reset (mirror); /* the watch would find the same a moment later */
+  call->done (items != NULL, call->user);
 }
 
 /* A watch that does not wait brings all that has changed up to now. */
 void
 hzb_mirror_sync (HzbMirror *mirror, HzbSyncFunc done, gpointer user)
 {
-  Sync *sync;
+  Call *call;
   if (mirror->state != HZB_MIRROR_FOLLOWING)
     {
       done (FALSE, user);
       return;
     }
-  sync = g_new0 (Sync, 1);
-  sync->mirror = mirror;
-  sync->done = done;
-  sync->user = user;
-  hzb_store_news (mirror->store, mirror->prefix, mirror->revision, on_synced, sync);
+  call = call_new (mirror);
+  call->done = done;
+  call->user = user;
+  hzb_store_news (mirror->store, mirror->prefix, mirror->revision, on_synced, call);
 }
 
 static void
@@ -157,17 +299,15 @@
   if (hzb_time_before (now, mirror->next_step))
     return;
   if (mirror->state == HZB_MIRROR_EMPTY && mirror->funcs.may_load (mirror->user))
-    {
-      set_state (mirror, HZB_MIRROR_LOADING);
-      mirror->funcs.load_begin (mirror->user);
-      g_clear_pointer (&mirror->load_cursor, g_free);
-      hzb_store_range (mirror->store, mirror->prefix, NULL, on_loaded, mirror);
-    }
+    begin_load (mirror);
+  else if (mirror->state == HZB_MIRROR_LOADING && !mirror->load_asked)
+    ask_for_load (mirror);
   else if (mirror->state == HZB_MIRROR_FOLLOWING && !mirror->watching && !hzb_time_before (now, mirror->next_watch))
     {
       mirror->watching = TRUE;
       mirror->next_watch = hzb_time_plus (now, mirror->watch_interval_s);
-      hzb_store_watch (mirror->store, mirror->prefix, mirror->revision, HZB_MIRROR_WATCH_MS, on_watched, mirror);
+      hzb_store_watch (mirror->store, mirror->prefix, mirror->revision, HZB_MIRROR_WATCH_MS, on_watched,
+                       call_new (mirror));
     }
 }
 
