What a lessee has to say fits a request, however many machines fall silent together

Cause, from reading: a lessee's poll holds up to 160 events and a count for each job that runs, and requests between controllers are refused over 64 KiB. Machines that fall silent are returned with the names of their tasks, so a hundred at once, on a leader that could not be asked for two seconds, are more than that: the poll is refused each time, nothing is acknowledged, the questions about cancellations with it, and after 5 s the whole block is lost.

--- a/src/block-leases.c
+++ b/src/block-leases.c
@@ -758,7 +758,7 @@
       hzb_json_add_u64 (reply, "token", lessee->token);
       hzb_json_add_u64 (reply, "have", lessee->in_number);
       cJSON_AddNumberToObject (reply, "leaseS", LEASE_S);
-      cJSON_AddItemToObject (reply, "batches", hzb_outbox_pack (&lessee->out));
+      cJSON_AddItemToObject (reply, "batches", hzb_outbox_pack (&lessee->out, G_MAXSIZE));
     }
   {
     char *text = cJSON_PrintUnformatted (reply);
--- a/src/lessee.c
+++ b/src/lessee.c
@@ -10,8 +10,13 @@
 #define GIVE_UP_S 5.0 /* it lets go when the leader has not answered for so long: it sits on no machines */
 /* Of the block's CPUs: tasks requested beyond its free room, so that no slot waits for the next answer. */
 #define PREFETCH_PART 0.12
-#define UNSTARTED_TTL_S 6.0  /* an unstarted task goes back to the leader after this */
-#define IDLE_S 10.0          /* and an idle machine */
+#define UNSTARTED_TTL_S 6.0 /* an unstarted task goes back to the leader after this */
+#define IDLE_S 10.0         /* and an idle machine */
+/* Guards against a poll that is larger than a request may be: it would be refused each time, nothing in it acknowledged,
+ * and the whole block lost, when hundreds of machines fall silent together. With what else goes along, below 64 KiB. */
+#define MAX_EVENT_BYTES (36 * 1024)
+#define MAX_RUNNING_COUNTS 500u /* jobs, up to 25 bytes each; the counts are for display */
+#define MAX_LEAVING_COUNTS 250u
 #define MAINTAIN_EVERY_S 0.5 /* tasks that may have to go back are looked for so often */
 
 struct _HzbLessee
@@ -322,17 +327,35 @@
         }
     }
   g_hash_table_iter_init (&iter, counts);
-  while (g_hash_table_iter_next (&iter, &job, &count))
+  for (guint n = 0; n < MAX_LEAVING_COUNTS && g_hash_table_iter_next (&iter, &job, &count); n++)
     cJSON_AddNumberToObject (leaving, ((HzbJob *) job)->uid, GPOINTER_TO_UINT (count));
   return leaving;
 }
 
+/* How many tasks of each job run in the block. */
+static cJSON *
+pack_running (HzbController *controller)
+{
+  cJSON *running = cJSON_CreateObject ();
+  guint n = 0;
+
+  for (guint i = 0; i < controller->jobs->active->len && n < MAX_RUNNING_COUNTS; i++)
+    {
+      const HzbJob *job = controller->jobs->active->pdata[i];
+      if (!job->running)
+        continue;
+      cJSON_AddNumberToObject (running, job->uid, job->running);
+      n++;
+    }
+  return running;
+}
+
 static void
 poll_leader (HzbLessee *lessee, struct timespec now)
 {
   HzbController *controller = lessee->controller;
   const char *leader = hzb_election_leader (controller->election), *addr = NULL;
-  cJSON *root, *running, *cancelled;
+  cJSON *root, *cancelled;
 
   for (guint i = 0; leader && i < controller->settings->peers->len; i++)
     if (g_str_equal (((HzbPeer *) controller->settings->peers->pdata[i])->node, leader))
@@ -348,16 +371,10 @@
     {
       hzb_json_add_u64 (root, "token", lessee->token);
       hzb_json_add_u64 (root, "have", lessee->in_number);
-      cJSON_AddItemToObject (root, "events", hzb_outbox_pack (&lessee->out));
+      cJSON_AddItemToObject (root, "events", hzb_outbox_pack (&lessee->out, MAX_EVENT_BYTES));
       cJSON_AddNumberToObject (root, "room", hzb_lessee_valid (lessee) ? room (controller) : 0);
       cJSON_AddItemToObject (root, "leaving", pack_leaving (controller));
-      running = cJSON_AddObjectToObject (root, "running");
-      for (guint i = 0; i < controller->jobs->active->len; i++)
-        {
-          const HzbJob *job = controller->jobs->active->pdata[i];
-          if (job->running)
-            cJSON_AddNumberToObject (running, job->uid, job->running);
-        }
+      cJSON_AddItemToObject (root, "running", pack_running (controller));
     }
   hzb_send (controller->transport, "POST", addr, "/peer/v1/block", cJSON_PrintUnformatted (root), ASK_TIMEOUT_MS,
             on_answer, lessee);
--- a/src/outbox.c
+++ b/src/outbox.c
@@ -1,5 +1,7 @@
 #include "outbox.h"
 
+#include <string.h>
+
 #define MOST_PER_MESSAGE 160u
 
 typedef struct
@@ -7,6 +9,7 @@
   guint64 number;
   cJSON *body;
   gboolean sent;
+  gsize bytes; /* once sent, from when on it does not change */
 } Message;
 
 static void
@@ -34,14 +37,27 @@
     message_free (g_queue_pop_head (&outbox->waiting));
 }
 
+static void
+measure (Message *message)
+{
+  g_autofree char *text = cJSON_PrintUnformatted (message->body);
+  message->bytes = strlen (text) + 1;
+}
+
 cJSON *
-hzb_outbox_pack (const HzbOutbox *outbox)
+hzb_outbox_pack (const HzbOutbox *outbox, gsize max_bytes)
 {
   cJSON *list = cJSON_CreateArray ();
+  gsize bytes = 0;
   guint n = 0;
   for (GList *l = outbox->waiting.head; l && n < MOST_PER_MESSAGE; l = l->next, n++)
     {
       Message *message = l->data;
+      if (!message->sent)
+        measure (message);
+      bytes += message->bytes;
+      if (n && bytes > max_bytes)
+        break;
       message->sent = TRUE;
       cJSON_AddItemToArray (list, cJSON_Duplicate (message->body, TRUE));
     }
--- a/src/outbox.h
+++ b/src/outbox.h
@@ -10,7 +10,8 @@
 
 void hzb_outbox_push (HzbOutbox *outbox, cJSON *body); /* takes the body */
 void hzb_outbox_acknowledged (HzbOutbox *outbox, guint64 number);
-cJSON *hzb_outbox_pack (const HzbOutbox *outbox);
+/* The first ones, as many as fit, and one at least: what is left goes once these are acknowledged. */
+cJSON *hzb_outbox_pack (const HzbOutbox *outbox, gsize max_bytes);
 void hzb_outbox_clear (HzbOutbox *outbox);
 /* The body of the last message, if it has a member of that name and has never been packed; else NULL. */
 cJSON *hzb_outbox_unsent (HzbOutbox *outbox, const char *member);
--- a/tests/test-forgotten.c
+++ b/tests/test-forgotten.c
@@ -211,6 +211,49 @@
     }
 }
 
+/* ---- messages between controllers ---- */
+
+static guint
+lessees (const Sim *sim)
+{
+  guint n = 0;
+  for (guint i = 0; i < SIM_NODES; i++)
+    n += sim->nodes[i].controller && sim->nodes[i].controller->ownership == HZB_OWNERSHIP_LESSEE;
+  return n;
+}
+
+static void
+cut_leader_from_peers (Sim *sim, gboolean cut)
+{
+  sim->nodes[MAX (sim_leader (sim), 0)].cut_peers = cut;
+}
+
+/* Hundreds of machines with dozens of tasks each fall silent together, while for a moment the leader can't be asked: what
+ * their lessees have to say fits no single request, and no block is lost for that. */
+static void
+test_much_to_say (void)
+{
+  Sim *sim = sim_new_sized (350, &large);
+  for (guint i = 0; i < 300; i++)
+    sim_add_machine (sim, "big", i % 2 ? "za" : "zb", TRUE, g_rand_double_range (sim->rand, 1, 5));
+  for (guint i = 0; i < 60; i++)
+    sim_add_job (sim, 1 + 0.1 * i, i % 2 ? "red" : "blue", 150, 0.25, 300);
+  sim_run (sim, 40);
+  g_assert_cmpuint (lessees (sim), ==, SIM_NODES - 1);
+  for (guint i = 0; i < sim->machines->len; i++)
+    ((SimMachine *) sim->machines->pdata[i])->cut = i % 3 > 0;
+  for (guint i = 0; i < 60; i++) /* silent after three reports of 5 s */
+    {
+      cut_leader_from_peers (sim, i % 8 < 5);
+      sim_run (sim, sim->now + 0.5);
+    }
+  cut_leader_from_peers (sim, FALSE);
+  g_assert_cmpuint (lessees (sim), ==, SIM_NODES - 1);
+  g_assert_cmpuint (sim->oversized_requests, ==, 0);
+  expect_no_fault (sim, "much to say", 350);
+  sim_free (sim);
+}
+
 /* ---- faults at random ---- */
 
 static void
@@ -377,6 +420,7 @@
   g_test_add_func ("/forgotten/changes-of-leader", test_changes_of_leader);
   g_test_add_func ("/forgotten/cancelled-while-records-are-read", test_cancelled_while_records_are_read);
   g_test_add_func ("/forgotten/more-than-a-message", test_more_than_a_message);
+  g_test_add_func ("/forgotten/much-to-say", test_much_to_say);
   g_test_add_func ("/forgotten/faults-at-random", test_faults_at_random);
   return g_test_run ();
 }
