--- a/tests/sim-cluster.h
+++ b/tests/sim-cluster.h
@@ -68,9 +68,10 @@
   double submit_at, cancelled_at, answered_at, began_at;
   double longest_silence_s; /* between two answers about it */
   guint last_status;        /* of the answers to its user */
-  GString *history;         /* what its user was told, a line for each change */
-  double waits_since;       /* calm, and something of it waits though a machine that fits has room; 0: not */
-  guchar *finished;         /* a task has ended well somewhere */
+  char last_state[12];
+  GString *history;   /* what its user was told, a line for each change */
+  double waits_since; /* calm, and something of it waits though a machine that fits has room; 0: not */
+  guchar *finished;   /* a task has ended well somewhere */
 } SimJob;
 
 /* What a larger deployment than the usual little one differs in. */
