What the state service refuses is not asked again at once, all the time

Cause, from reading: a leader that could not read a page of its records, and one that did not know what became of a flush, asked again as soon as they were refused: as many requests as the budget allows for as long as an outage lasts, which costs the node its processor and, refused alone, the other nodes theirs of the shared rate.

--- a/src/controller.c
+++ b/src/controller.c
@@ -3,6 +3,7 @@
 #include <math.h>
 #include <string.h>
 
+#define OWNER_PAGE_PAUSE_S 0.4                            /* after a page of the owner's records that did not come */
 #define STORE_SILENT_S (HZB_MIRROR_WATCH_MS / 1000.0 + 1) /* longer than a watch takes */
 
 /* ---- the mirror ---- */
@@ -131,6 +132,16 @@
   controller->ownership = to;
 }
 
+static void on_owner_records_loaded (HzbStoreResult result, const char *body, gpointer user);
+
+static void
+ask_for_owner_page (HzbController *controller)
+{
+  controller->owner_page_asked = TRUE;
+  hzb_store_range (controller->store, HZB_KEY_OWNER, controller->owner_load_cursor, on_owner_records_loaded,
+                   hzb_epoch_call_new (controller, NULL));
+}
+
 static void
 on_owner_records_loaded (HzbStoreResult result, const char *body, gpointer user)
 {
@@ -142,18 +153,24 @@
 
   if (epoch_call->epoch != controller->ownership_epoch || controller->ownership != HZB_OWNERSHIP_LOADING)
     return;
+  controller->owner_page_asked = FALSE;
   items = result == HZB_STORE_OK ? hzb_wire_parse_range (body, &more, &revision) : NULL;
-  for (guint i = 0; items && i < items->len; i++)
+  if (!items)
+    {
+      /* Guards against a leader that asks again at once, all the time, while the state service refuses it. */
+      controller->next_owner_page = hzb_time_plus (hzb_clock_now (controller->clock), OWNER_PAGE_PAUSE_S);
+      return;
+    }
+  for (guint i = 0; i < items->len; i++)
     {
       HzbItem *item = &g_array_index (items, HzbItem, i);
       hzb_records_load (controller->records, item);
       g_free (controller->owner_load_cursor);
       controller->owner_load_cursor = g_strdup (item->key);
     }
-  if (!items || (more && items->len))
+  if (more && items->len)
     {
-      hzb_store_range (controller->store, HZB_KEY_OWNER, controller->owner_load_cursor, on_owner_records_loaded,
-                       hzb_epoch_call_new (controller, NULL));
+      ask_for_owner_page (controller);
       return;
     }
   hzb_records_load_finished (controller->records);
@@ -181,8 +198,7 @@
   hzb_machines_clear (controller->machines);
   hzb_jobs_begin_ownership (controller->jobs, controller->block);
   set_ownership (controller, HZB_OWNERSHIP_LOADING, "elected");
-  hzb_store_range (controller->store, HZB_KEY_OWNER, NULL, on_owner_records_loaded,
-                   hzb_epoch_call_new (controller, NULL));
+  ask_for_owner_page (controller);
 }
 
 static void
@@ -351,6 +367,9 @@
     begin_ownership (controller);
   else if (!hzb_election_leading (controller->election) && controller->ownership > HZB_OWNERSHIP_LESSEE)
     end_ownership (controller);
+  if (controller->ownership == HZB_OWNERSHIP_LOADING && !controller->owner_page_asked
+      && !hzb_time_before (now, controller->next_owner_page))
+    ask_for_owner_page (controller);
   if (controller->ownership == HZB_OWNERSHIP_READY && controller->format == HZB_FORMAT
       && hzb_election_format (controller->election) < HZB_FORMAT
       && hzb_peers_all_have_format (controller->peers, HZB_FORMAT))
--- a/src/controller.h
+++ b/src/controller.h
@@ -73,6 +73,8 @@
   HzbOwnershipState ownership;
   guint64 ownership_epoch; /* told apart: answers to an earlier ownership are dropped */
   char *owner_load_cursor;
+  gboolean owner_page_asked;
+  struct timespec next_owner_page;
   struct timespec last_tick;    /* the timer's */
   struct timespec lost_workers; /* when this node last stepped down because no worker reported */
   struct timespec redirected;   /* when a worker was last sent to the leader from here */
--- a/src/records.c
+++ b/src/records.c
@@ -58,11 +58,45 @@
   guint numbers;            /* used so far */
   guint64 version, flushes; /* of the flush record */
   gboolean flushing, moving;
-  guint retiring; /* pages */
+  HzbEpochCall *unresolved; /* a flush without an answer; what became of it could not be read yet either */
+  guint retiring;           /* pages */
   gboolean any_replacement;
   struct timespec next, next_clean, next_move;
 };
 
+typedef struct
+{
+  char *uid;
+  guint releasing;
+  GArray *finished; /* guint, task numbers */
+} FlushedPart;
+
+typedef struct
+{
+  guint64 number;
+  GPtrArray *parts;     /* FlushedPart */
+  GPtrArray *machines;  /* char*, names recorded */
+  GPtrArray *completed; /* char*, keys of acceptances removed */
+} Flush;
+
+static void
+flushed_part_free (gpointer data)
+{
+  FlushedPart *part = data;
+  g_free (part->uid);
+  g_array_unref (part->finished);
+  g_free (part);
+}
+
+static void
+flush_free (Flush *flush)
+{
+  g_ptr_array_unref (flush->parts);
+  g_ptr_array_unref (flush->machines);
+  g_ptr_array_unref (flush->completed);
+  g_free (flush);
+}
+
 static void
 page_free (gpointer data)
 {
@@ -131,9 +165,19 @@
   return records;
 }
 
+static void
+drop_unresolved (HzbRecords *records)
+{
+  if (!records->unresolved)
+    return;
+  flush_free (records->unresolved->data);
+  g_clear_pointer (&records->unresolved, g_free);
+}
+
 void
 hzb_records_free (HzbRecords *records)
 {
+  drop_unresolved (records);
   g_ptr_array_unref (records->pages);
   g_free (records);
 }
@@ -141,6 +185,7 @@
 void
 hzb_records_reset (HzbRecords *records)
 {
+  drop_unresolved (records);
   g_ptr_array_set_size (records->pages, 0);
   records->numbers = 0;
   records->version = records->flushes = 0;
@@ -370,39 +415,6 @@
 
 /* ---- writing ---- */
 
-typedef struct
-{
-  char *uid;
-  guint releasing;
-  GArray *finished; /* guint, task numbers */
-} FlushedPart;
-
-typedef struct
-{
-  guint64 number;
-  GPtrArray *parts;     /* FlushedPart */
-  GPtrArray *machines;  /* char*, names recorded */
-  GPtrArray *completed; /* char*, keys of acceptances removed */
-} Flush;
-
-static void
-flushed_part_free (gpointer data)
-{
-  FlushedPart *part = data;
-  g_free (part->uid);
-  g_array_unref (part->finished);
-  g_free (part);
-}
-
-static void
-flush_free (Flush *flush)
-{
-  g_ptr_array_unref (flush->parts);
-  g_ptr_array_unref (flush->machines);
-  g_ptr_array_unref (flush->completed);
-  g_free (flush);
-}
-
 static void
 flush_applied (HzbRecords *records, Flush *flush)
 {
@@ -494,7 +506,16 @@
       g_free (epoch_call);
       return;
     }
-  hzb_store_get (epoch_call->controller->store, HZB_STORE_RECORD, HZB_KEY_FLUSH, on_flush_read, epoch_call);
+  /* Not at once: an outage may last for minutes. */
+  records->unresolved = epoch_call;
+  records->next = hzb_time_plus (hzb_clock_now (epoch_call->controller->clock), REFUSED_PAUSE_S);
+}
+
+static void
+read_flush (HzbRecords *records)
+{
+  hzb_store_get (records->controller->store, HZB_STORE_RECORD, HZB_KEY_FLUSH, on_flush_read,
+                 g_steal_pointer (&records->unresolved));
 }
 
 static void
@@ -804,6 +825,8 @@
   if (controller->ownership < HZB_OWNERSHIP_RECOVERING || !hzb_election_leading (controller->election))
     return;
   move_old (records, now);
+  if (records->unresolved && !hzb_time_before (now, records->next))
+    read_flush (records);
   if (records->flushing || hzb_time_before (now, records->next))
     return;
   records->next = hzb_time_plus (now, FLUSH_EVERY_S);
--- a/tests/test-overload.c
+++ b/tests/test-overload.c
@@ -281,6 +281,43 @@
     }
 }
 
+/* In an outage nobody calls the state service all the time: neither a leader that can't read its records, nor one that does
+ * not know what became of what it wrote. */
+static void
+test_calls_in_an_outage (void)
+{
+  for (guint32 seed = 650; seed < 654; seed++)
+    {
+      Sim *sim = sim_new (seed);
+      guint before;
+      for (guint i = 0; i < 10; i++)
+        sim_add_job (sim, 1 + i, i % 2 ? "red" : "blue", 6, 1.5, 25);
+      sim_run (sim, 20);
+      if (seed % 2)
+        sim->late_writes = 1; /* no transaction gets an answer */
+      else
+        {
+          sim_crash (sim, (guint) MAX (sim_leader (sim), 0));
+          while (sim_leader (sim) < 0 && sim->now < 40)
+            sim_run (sim, sim->now + 0.001);
+        }
+      sim_run (sim, sim->now + (seed % 2 ? 2 : 0.01));
+      sim->outage = TRUE;
+      sim_run (sim, sim->now + 1);
+      before = sim->requests;
+      sim_run (sim, sim->now + 20);
+      g_test_message ("seed %u: %u requests in 20 s", seed, sim->requests - before);
+      /* Of three nodes: a watch and a lease renewal now and then, and two tries a second of whatever failed. */
+      g_assert_cmpuint (sim->requests - before, <, SIM_NODES * 20 * 6);
+      sim->outage = FALSE;
+      sim->late_writes = 0;
+      start_all (sim, NULL);
+      sim_run (sim, sim->now + 300);
+      expect_all_over (sim, "calls in an outage", seed);
+      sim_free (sim);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -289,6 +326,7 @@
   g_test_add_func ("/cluster/silent-controllers", test_silent_controllers);
   g_test_add_func ("/cluster/many-questions", test_many_questions);
   g_test_add_func ("/cluster/many-questions-in-an-outage", test_many_questions_in_an_outage);
+  g_test_add_func ("/cluster/calls-in-an-outage", test_calls_in_an_outage);
   g_test_add_func ("/cluster/guest-swarm", test_guest_swarm);
   g_test_add_func ("/cluster/jobs-with-a-mistake", test_jobs_with_a_mistake);
   return g_test_run ();
