--- a/src/submissions.c
+++ b/src/submissions.c
@@ -6,6 +6,10 @@
 #include <string.h>
 
 #define MAX_QUEUED_SUBMISSIONS 256u
+#define MAX_BATCHES_SENT 2u
+#define ACCEPT_WITHIN_S 2.5   /* or its user is told to come back */
+#define RECORD_SLACK_BYTES 64 /* braces and names around what a record holds */
+#define ENTRY_SLACK_BYTES 8   /* and around each job in it */
 
 void
 hzb_submissions_free (HzbSubmission *submission)
@@ -15,6 +19,26 @@
   g_free (submission);
 }
 
+/* A record of acceptances may have so many. */
+static double
+max_record_bytes (const HzbController *controller)
+{
+  return controller->settings->store_value_kb * 1024 - RECORD_SLACK_BYTES;
+}
+
+static HzbSubmission *
+submission_new (HzbController *controller, HzbExchange *exchange, HzbSpec *spec)
+{
+  HzbSubmission *submission = g_new0 (HzbSubmission, 1);
+  cJSON *packed = hzb_jobs_pack_accepted (spec, hzb_clock_wall (controller->clock));
+  submission->exchange = exchange;
+  submission->spec = spec;
+  submission->packed = cJSON_PrintUnformatted (packed);
+  submission->deadline = hzb_time_plus (hzb_clock_now (controller->clock), ACCEPT_WITHIN_S);
+  cJSON_Delete (packed);
+  return submission;
+}
+
 /* So many a transaction takes. */
 static guint
 conditions (HzbController *controller)
@@ -22,6 +46,31 @@
   return CLAMP (controller->settings->store_txn_ops * 4, 3, 256);
 }
 
+static void
+reply_accepted (HzbUserApi *api, HzbSubmission *submission)
+{
+  const char *uid = submission->spec->uid;
+  HzbJob *job = hzb_jobs_find (api->controller->jobs, uid);
+
+  if (job && job->state == HZB_JOB_CANCELLED)
+    hzb_user_api_reply_final (api, hzb_user_api_check_new (submission->exchange, uid, HZB_QUESTION_SUBMISSION), job);
+  else
+    hzb_exchange_reply (submission->exchange, 201,
+                        hzb_wire_job_status (uid, job ? hzb_job_status (job) : "queued", FALSE, 0, 0), 0);
+}
+
+/* Either the job is over, or what became of the transaction is not known: if the job is not there, it may still come, so
+ * the user is told to come back. */
+static void
+check_undecided (HzbUserApi *api, HzbSubmission *submission, gboolean over)
+{
+  HzbCheck *check = hzb_user_api_check_new (submission->exchange, submission->spec->uid, HZB_QUESTION_SUBMISSION);
+  if (over)
+    hzb_user_api_read_check (api, check);
+  else
+    hzb_user_api_queue_check (api, check);
+}
+
 static void
 on_accepted (HzbStoreResult result, const char *body, gpointer user)
 {
@@ -42,32 +91,16 @@
   for (guint i = 0; i < batch->entries->len; i++)
     {
       HzbSubmission *submission = batch->entries->pdata[i];
-      const char *uid = submission->spec->uid;
-      gboolean over = hzb_user_api_failed_by (failed, uid);
-      if (result == HZB_STORE_OK)
-        {
-          HzbJob *job = hzb_jobs_find (controller->jobs, uid);
-          if (job && job->state == HZB_JOB_CANCELLED)
-            hzb_user_api_reply_final (api, hzb_user_api_check_new (submission->exchange, uid, HZB_QUESTION_SUBMISSION),
-                                      job);
-          else
-            hzb_exchange_reply (submission->exchange, 201,
-                                hzb_wire_job_status (uid, job ? hzb_job_status (job) : "queued", FALSE, 0, 0), 0);
-        }
-      else if (result == HZB_STORE_CONFLICT && !over && batch->entries->len > 1)
+      gboolean over = hzb_user_api_failed_by (failed, submission->spec->uid);
+      if (result == HZB_STORE_CONFLICT && !over && batch->entries->len > 1)
         {
           g_queue_push_head (&api->submissions, submission); /* another of the batch was the reason */
           continue;
         }
+      if (result == HZB_STORE_OK)
+        reply_accepted (api, submission);
       else if (result == HZB_STORE_CONFLICT || result == HZB_STORE_UNKNOWN)
-        {
-          /* Not there: it may still come, so the user is told to come back. */
-          HzbCheck *check = hzb_user_api_check_new (submission->exchange, uid, HZB_QUESTION_SUBMISSION);
-          if (over)
-            hzb_user_api_read_check (api, check);
-          else
-            hzb_user_api_queue_check (api, check);
-        }
+        check_undecided (api, submission, over);
       else
         hzb_user_api_reply_unavailable (submission->exchange, "the state service can't be asked");
       hzb_submissions_free (submission);
@@ -76,51 +109,69 @@
   hzb_submissions_flush (api);
 }
 
-void
-hzb_submissions_flush (HzbUserApi *api)
+/* Takes what waits into the batch, as much as a transaction and a record hold. */
+static void
+fill_batch (HzbUserApi *api, HzbBatch *batch, cJSON *txn)
 {
   HzbController *controller = api->controller;
   struct timespec now = hzb_clock_now (controller->clock);
+  guint most = (conditions (controller) - 1) / 2;
+  gsize bytes = 0;
+  HzbSubmission *submission;
 
-  while (api->accepting < 2 && api->submissions.length)
+  while (batch->entries->len < most && (submission = g_queue_peek_head (&api->submissions)))
     {
-      HzbBatch *batch = hzb_user_api_batch_new (api);
-      cJSON *txn = hzb_wire_txn ();
-      gsize bytes = 0, most = (gsize) (controller->settings->store_value_kb * 1024) - 64;
-      batch->record = cJSON_CreateObject ();
-      while (api->submissions.length && batch->entries->len < (conditions (controller) - 1) / 2)
+      const char *uid = submission->spec->uid;
+      gsize length = strlen (submission->packed) + strlen (uid) + ENTRY_SLACK_BYTES;
+      if (hzb_time_before (submission->deadline, now))
         {
-          HzbSubmission *submission = g_queue_peek_head (&api->submissions);
-          const char *uid = submission->spec->uid;
-          gsize length = strlen (submission->packed) + strlen (uid) + 8;
-          if (hzb_time_before (submission->deadline, now))
-            {
-              g_queue_pop_head (&api->submissions);
-              hzb_user_api_reply_unavailable (submission->exchange, "not decided in time");
-              hzb_submissions_free (submission);
-              continue;
-            }
-          if (cJSON_HasObjectItem (batch->record, uid) || (batch->entries->len && bytes + length > most))
-            break;
           g_queue_pop_head (&api->submissions);
-          bytes += length;
-          hzb_jobs_txn_if_not_over (txn, uid); /* long since */
-          cJSON_AddItemToObject (batch->record, uid, cJSON_Parse (submission->packed));
-          g_ptr_array_add (batch->entries, submission);
-        }
-      if (!batch->entries->len)
-        {
-          cJSON_Delete (txn);
-          hzb_user_api_batch_free (batch);
-          return;
+          hzb_user_api_reply_unavailable (submission->exchange, "not decided in time");
+          hzb_submissions_free (submission);
+          continue;
         }
-      batch->key = g_strdup_printf ("%s%s-%s-%u", HZB_KEY_ACCEPTED, controller->settings->node, controller->incarnation,
-                                    ++api->records);
-      hzb_wire_txn_if (txn, batch->key, 0);
-      hzb_wire_txn_put (txn, batch->key, cJSON_Duplicate (batch->record, TRUE), 0);
-      api->accepting++;
-      hzb_store_txn (controller->store, HZB_STORE_ACCEPT, txn, on_accepted, batch);
+      if (cJSON_HasObjectItem (batch->record, uid)
+          || (batch->entries->len && (double) (bytes + length) > max_record_bytes (controller)))
+        break;
+      g_queue_pop_head (&api->submissions);
+      bytes += length;
+      hzb_jobs_txn_if_not_over (txn, uid); /* long since */
+      cJSON_AddItemToObject (batch->record, uid, cJSON_Parse (submission->packed));
+      g_ptr_array_add (batch->entries, submission);
+    }
+}
+
+/* Returns: FALSE if nothing is left to be sent. */
+static gboolean
+send_batch (HzbUserApi *api)
+{
+  HzbController *controller = api->controller;
+  HzbBatch *batch = hzb_user_api_batch_new (api);
+  cJSON *txn = hzb_wire_txn ();
+
+  batch->record = cJSON_CreateObject ();
+  fill_batch (api, batch, txn);
+  if (!batch->entries->len)
+    {
+      cJSON_Delete (txn);
+      hzb_user_api_batch_free (batch);
+      return FALSE;
     }
+  batch->key = g_strdup_printf ("%s%s-%s-%u", HZB_KEY_ACCEPTED, controller->settings->node, controller->incarnation,
+                                ++api->records);
+  hzb_wire_txn_if (txn, batch->key, 0);
+  hzb_wire_txn_put (txn, batch->key, cJSON_Duplicate (batch->record, TRUE), 0);
+  api->accepting++;
+  hzb_store_txn (controller->store, HZB_STORE_ACCEPT, txn, on_accepted, batch);
+  return TRUE;
+}
+
+void
+hzb_submissions_flush (HzbUserApi *api)
+{
+  gboolean more = TRUE;
+  while (more && api->accepting < MAX_BATCHES_SENT && api->submissions.length)
+    more = send_batch (api);
 }
 
 /* NULL: it can run. */
@@ -181,7 +232,6 @@
   HzbJob *job;
   const char *refusal;
   HzbSubmission *submission;
-  cJSON *packed;
 
   if (!spec)
     {
@@ -227,19 +277,15 @@
       return;
     }
   drop_unknown_types (controller, spec);
-  packed = hzb_jobs_pack_accepted (spec, hzb_clock_wall (controller->clock));
-  submission = g_new0 (HzbSubmission, 1);
-  submission->exchange = exchange;
-  submission->packed = cJSON_PrintUnformatted (packed);
-  submission->deadline = hzb_time_plus (hzb_clock_now (controller->clock), 2.5);
-  cJSON_Delete (packed);
-  if ((double) strlen (submission->packed) > controller->settings->store_value_kb * 1024 - 64)
+  submission = submission_new (controller, exchange, g_steal_pointer (&spec));
+  if ((double) strlen (submission->packed) > max_record_bytes (controller))
     {
-      hzb_exchange_reply (exchange, 400, hzb_wire_error ("the job's texts are too long"), 0);
+      /* Guards against a repeat of a job that was accepted when values could be larger: it must not be refused. */
+      hzb_user_api_add_check (api, exchange, submission->spec->uid, HZB_QUESTION_SUBMISSION,
+                              "the job's texts are too long", 400);
       hzb_submissions_free (submission);
       return;
     }
-  submission->spec = g_steal_pointer (&spec);
   g_queue_push_tail (&api->submissions, submission);
   hzb_submissions_flush (api);
 }
