--- a/src/controller.c
+++ b/src/controller.c
@@ -193,6 +193,7 @@
   controller->block = hzb_block_new (controller->settings, hzb_token (hzb_election_term (controller->election), 0));
   hzb_leases_reset (controller->leases);
   hzb_records_reset (controller->records);
+  hzb_old_ends_reset (controller->old_ends);
   hzb_provisioning_reset (controller->provisioning);
   g_clear_pointer (&controller->owner_load_cursor, g_free);
   hzb_machines_clear (controller->machines);
@@ -207,6 +208,7 @@
   controller->ownership_epoch++;
   set_ownership (controller, HZB_OWNERSHIP_NONE, "not the leader any more");
   hzb_records_reset (controller->records);
+  hzb_old_ends_reset (controller->old_ends);
   hzb_jobs_end_ownership (controller->jobs);
   hzb_machines_clear (controller->machines);
   g_clear_pointer (&controller->block, hzb_block_free);
@@ -485,6 +487,7 @@
   controller->incarnation = g_strdup_printf ("%08x%08x", g_rand_int (controller->rand), g_rand_int (controller->rand));
   controller->provisioning = hzb_provisioning_new (controller);
   controller->records = hzb_records_new (controller);
+  controller->old_ends = hzb_old_ends_new (controller);
   return controller;
 }
 
@@ -497,6 +500,7 @@
   hzb_lessee_free (controller->lessee);
   hzb_peers_free (controller->peers);
   hzb_records_free (controller->records);
+  hzb_old_ends_free (controller->old_ends);
   hzb_metrics_free (controller->metrics);
   g_free (controller->incarnation);
   hzb_jobs_end_ownership (controller->jobs);
--- a/src/controller.h
+++ b/src/controller.h
@@ -11,6 +11,7 @@
 #include "lessee.h"
 #include "metrics.h"
 #include "mirror.h"
+#include "old-ends.h"
 #include "owner.h"
 #include "peers.h"
 #include "provisioning.h"
@@ -59,6 +60,7 @@
   HzbLeases *leases;
   HzbLessee *lessee;
   HzbRecords *records;
+  HzbOldEnds *old_ends;
   HzbMetrics *metrics;
   guint64 settings_version; /* of the operators' settings */
   gboolean lease_blocks;
--- a/src/records.c
+++ b/src/records.c
@@ -1,8 +1,5 @@
-/* What the owner keeps in the state service for the next one: how far jobs have come, and which machines there are.
- *
- * Changes are the scarcest thing in the state service, and hundreds of jobs and machines change at once, so many of
- * them share one value: a page. A job or machine stays on the page it was first put on until it is gone, and a page is
- * written anew as a whole.
+/* What the owner keeps in the state service for the next one: how far jobs have come, and which machines there are, on
+ * pages (record-pages.h).
  *
  * A page of version 1 may be larger than a value will be allowed to be. What it names is put on pages of our size; once
  * all of these are written the large one goes. Until then both are read, and that is safe: a task done on either is
@@ -13,6 +10,7 @@
  * it, so one that comes late fails: without that an older set of results could overwrite a newer one of the same term. */
 #include "controller.h"
 #include "job-progress.h"
+#include "record-pages.h"
 
 #include <string.h>
 
@@ -21,47 +19,19 @@
 #define PROGRESS_PART 0.4    /* of the changes, for that */
 #define REFUSED_PAUSE_S 0.5
 #define CLEAN_EVERY_S 3.0
-#define MOVE_EVERY_S 1.0  /* records of jobs that ended long ago */
-#define MOVE_PART 0.15    /* of the changes, for that */
-#define PAGE_BYTES 12000u /* and less where values have to be smaller */
 #define TXN_BYTES 52000u
 #define RELEASE_STEP 64u
 
-/* A job's part on a page, all of its tasks for most jobs. */
-typedef struct
-{
-  HzbJob *job;
-  guint chunk;
-  gsize bytes;
-} Part;
-
-typedef struct
-{
-  guint number;
-  gboolean of_machines;
-  GArray *parts;       /* Part, of a page of progress */
-  GPtrArray *machines; /* HzbMachine, of a page of machines */
-  gsize bytes;         /* about what the value takes */
-  gboolean exists;
-  gboolean urgent;           /* as of the last look */
-  gboolean dirty;            /* a job on it has news */
-  gboolean stale;            /* it still names what is gone */
-  gboolean replaces_retired; /* it takes over what another page names, which goes once it is written */
-  gboolean retiring;         /* the other: too large, or with parts as version 1 has them */
-  struct timespec written;
-} Page;
-
 struct _HzbRecords
 {
   HzbController *controller;
-  GPtrArray *pages;         /* Page */
-  guint numbers;            /* used so far */
+  HzbPages pages;
   guint64 version, flushes; /* of the flush record */
-  gboolean flushing, moving;
+  gboolean flushing;
   HzbEpochCall *unresolved; /* a flush without an answer; what became of it could not be read yet either */
   guint retiring;           /* pages */
   gboolean any_replacement;
-  struct timespec next, next_clean, next_move;
+  struct timespec next, next_clean;
 };
 
 typedef struct
@@ -97,71 +67,12 @@
   g_free (flush);
 }
 
-static void
-page_free (gpointer data)
-{
-  Page *page = data;
-  g_array_unref (page->parts);
-  g_ptr_array_unref (page->machines);
-  g_free (page);
-}
-
-static Page *
-page_new (HzbRecords *records, guint number, gboolean of_machines)
-{
-  Page *page = g_new0 (Page, 1);
-  page->number = number;
-  page->of_machines = of_machines;
-  page->parts = g_array_new (FALSE, FALSE, sizeof (Part));
-  page->machines = g_ptr_array_new ();
-  records->numbers = MAX (records->numbers, number);
-  g_ptr_array_add (records->pages, page);
-  return page;
-}
-
-static Page *
-find_page (HzbRecords *records, guint number, gboolean of_machines)
-{
-  for (guint i = 0; number && i < records->pages->len; i++)
-    {
-      Page *page = records->pages->pdata[i];
-      if (page->number == number && page->of_machines == of_machines)
-        return page;
-    }
-  return NULL;
-}
-
-static char *
-page_key (const Page *page)
-{
-  return g_strdup_printf ("%s%06u", page->of_machines ? HZB_KEY_MACHINES : HZB_KEY_PROGRESS, page->number);
-}
-
-static gsize
-most_bytes (const HzbRecords *records)
-{
-  return MIN (PAGE_BYTES, (gsize) (records->controller->settings->store_value_kb * 1024 * 0.9));
-}
-
-static Page *
-page_with_room (HzbRecords *records, gboolean of_machines, gsize bytes)
-{
-  gsize most = most_bytes (records);
-  for (guint i = 0; i < records->pages->len; i++)
-    {
-      Page *page = records->pages->pdata[i];
-      if (page->of_machines == of_machines && !page->retiring && page->bytes + bytes <= most)
-        return page;
-    }
-  return page_new (records, records->numbers + 1, of_machines);
-}
-
 HzbRecords *
 hzb_records_new (HzbController *controller)
 {
   HzbRecords *records = g_new0 (HzbRecords, 1);
   records->controller = controller;
-  records->pages = g_ptr_array_new_with_free_func (page_free);
+  hzb_pages_init (&records->pages, controller->jobs, controller->settings);
   return records;
 }
 
@@ -178,7 +89,7 @@
 hzb_records_free (HzbRecords *records)
 {
   drop_unresolved (records);
-  g_ptr_array_unref (records->pages);
+  hzb_pages_free_all (&records->pages);
   g_free (records);
 }
 
@@ -186,45 +97,14 @@
 hzb_records_reset (HzbRecords *records)
 {
   drop_unresolved (records);
-  g_ptr_array_set_size (records->pages, 0);
-  records->numbers = 0;
+  hzb_pages_clear (&records->pages);
   records->version = records->flushes = 0;
-  records->flushing = records->moving = records->any_replacement = FALSE;
+  records->flushing = records->any_replacement = FALSE;
   records->retiring = 0;
 }
 
 /* ---- what is on pages ---- */
 
-static gsize
-part_bytes (const HzbRecords *records, const HzbJob *job, guint chunk)
-{
-  guint tasks = MIN (records->controller->jobs->chunk, job->n_tasks - chunk * records->controller->jobs->chunk);
-  /* A service's tasks are never done. */
-  return 120 + strlen (job->uid) + strlen (job->spec->team) + (job->spec->service ? 0 : tasks / 6);
-}
-
-static void
-add_part (HzbRecords *records, Page *page, HzbJob *job, guint chunk)
-{
-  Part part = { job, chunk, part_bytes (records, job, chunk) };
-  g_array_append_val (page->parts, part);
-  page->bytes += part.bytes;
-}
-
-static gsize
-machine_bytes (const HzbMachine *machine)
-{
-  return 85 + strlen (machine->name) + strlen (machine->type_name) + strlen (machine->zone);
-}
-
-static void
-add_machine (Page *page, HzbMachine *machine)
-{
-  g_ptr_array_add (page->machines, machine);
-  page->bytes += machine_bytes (machine);
-  machine->page = page->number;
-}
-
 /* Version 1 reads it as we write it, or there is none about any more. */
 static gboolean
 writable (const HzbRecords *records, const HzbJob *job)
@@ -239,8 +119,8 @@
     return;
   for (guint k = 0; k < hzb_job_chunks (records->controller->jobs, job); k++)
     {
-      Page *page = page_with_room (records, FALSE, part_bytes (records, job, k));
-      add_part (records, page, job, k);
+      HzbPage *page = hzb_pages_with_room (&records->pages, FALSE, hzb_pages_part_bytes (&records->pages, job, k));
+      hzb_pages_add_part (&records->pages, page, job, k);
       page->replaces_retired = page->replaces_retired || job->unsplit;
       records->any_replacement = records->any_replacement || job->unsplit;
     }
@@ -251,29 +131,13 @@
 void
 hzb_records_drop_job (HzbRecords *records, HzbJob *job)
 {
-  for (guint i = 0; job->on_pages && i < records->pages->len; i++)
-    {
-      Page *page = records->pages->pdata[i];
-      for (guint k = page->parts->len; k-- > 0;)
-        if (g_array_index (page->parts, Part, k).job == job)
-          {
-            page->bytes -= g_array_index (page->parts, Part, k).bytes;
-            page->stale = TRUE;
-            g_array_remove_index_fast (page->parts, k);
-          }
-    }
-  job->on_pages = FALSE;
+  hzb_pages_drop_job (&records->pages, job);
 }
 
 void
 hzb_records_drop_machine (HzbRecords *records, HzbMachine *machine)
 {
-  Page *page = find_page (records, machine->page, TRUE);
-  machine->page = 0;
-  if (!page || !g_ptr_array_remove_fast (page->machines, machine))
-    return;
-  page->bytes -= machine_bytes (machine);
-  page->stale = TRUE;
+  hzb_pages_drop_machine (&records->pages, machine);
 }
 
 /* ---- reading ---- */
@@ -295,7 +159,7 @@
 }
 
 static void
-load_progress (HzbRecords *records, Page *page, const cJSON *value)
+load_progress (HzbRecords *records, HzbPage *page, const cJSON *value)
 {
   HzbController *controller = records->controller;
   const char *slash = strrchr (value->string, '/');
@@ -321,18 +185,18 @@
     page->stale = TRUE;
   else if (ours && !job->unsplit)
     {
-      add_part (records, page, job, chunk);
+      hzb_pages_add_part (&records->pages, page, job, chunk);
       job->on_pages = TRUE;
     }
   else
     {
-      hzb_records_drop_job (records, job); /* of several parts some may be ours already */
+      hzb_pages_drop_job (&records->pages, job); /* of several parts some may be ours already */
       job->unsplit = page->retiring = TRUE;
     }
 }
 
 static void
-load_machine (HzbRecords *records, Page *page, const cJSON *value)
+load_machine (HzbRecords *records, HzbPage *page, const cJSON *value)
 {
   HzbController *controller = records->controller;
   const char *type = hzb_json_text (value, "type"), *zone = hzb_json_text (value, "zone");
@@ -347,7 +211,7 @@
   machine->drain = machine->to_be_returned = cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (value, "drain"));
   if (age > 1)
     machine->rented = hzb_time_plus (machine->rented, -(age - 1)); /* times of day differ a little */
-  add_machine (page, machine);
+  hzb_page_add_machine (page, machine);
 }
 
 void
@@ -356,7 +220,7 @@
   gboolean of_machines = g_str_has_prefix (item->key, HZB_KEY_MACHINES);
   const cJSON *entry;
   char *text;
-  Page *page;
+  HzbPage *page;
 
   if (g_str_equal (item->key, HZB_KEY_FLUSH))
     {
@@ -366,7 +230,7 @@
     }
   if (!of_machines && !g_str_has_prefix (item->key, HZB_KEY_PROGRESS))
     return;
-  page = page_new (records, (guint) g_ascii_strtoull (strrchr (item->key, '/') + 1, NULL, 10), of_machines);
+  page = hzb_page_new (&records->pages, (guint) g_ascii_strtoull (strrchr (item->key, '/') + 1, NULL, 10), of_machines);
   page->exists = TRUE;
   text = cJSON_PrintUnformatted (item->value);
   page->retiring = (double) strlen (text) > records->controller->settings->store_value_kb * 1024;
@@ -382,30 +246,30 @@
 void
 hzb_records_load_finished (HzbRecords *records)
 {
-  guint read = records->pages->len;
+  guint read = records->pages.all->len;
 
   for (guint i = 0; i < read; i++)
     {
-      Page *page = records->pages->pdata[i];
+      HzbPage *page = records->pages.all->pdata[i];
       g_autoptr (GArray) parts = page->retiring ? page->parts : NULL;
       g_autoptr (GPtrArray) machines = page->retiring ? page->machines : NULL;
       if (!page->retiring)
         continue;
       records->retiring++;
-      page->parts = g_array_new (FALSE, FALSE, sizeof (Part));
+      page->parts = g_array_new (FALSE, FALSE, sizeof (HzbPagePart));
       page->machines = g_ptr_array_new ();
       page->bytes = 0;
       for (guint k = 0; k < parts->len; k++)
         {
-          const Part *part = &g_array_index (parts, Part, k);
-          Page *to = page_with_room (records, FALSE, part->bytes);
-          add_part (records, to, part->job, part->chunk);
+          const HzbPagePart *part = &g_array_index (parts, HzbPagePart, k);
+          HzbPage *to = hzb_pages_with_room (&records->pages, FALSE, part->bytes);
+          hzb_pages_add_part (&records->pages, to, part->job, part->chunk);
           to->replaces_retired = records->any_replacement = TRUE;
         }
       for (guint k = 0; k < machines->len; k++)
         {
-          Page *to = page_with_room (records, TRUE, machine_bytes (machines->pdata[k]));
-          add_machine (to, machines->pdata[k]);
+          HzbPage *to = hzb_pages_with_room (&records->pages, TRUE, hzb_page_machine_bytes (machines->pdata[k]));
+          hzb_page_add_machine (to, machines->pdata[k]);
           to->replaces_retired = records->any_replacement = TRUE;
         }
     }
@@ -469,9 +333,9 @@
       if (acceptance)
         acceptance->removing = FALSE;
     }
-  for (guint i = 0; i < records->pages->len; i++)
+  for (guint i = 0; i < records->pages.all->len; i++)
     {
-      Page *page = records->pages->pdata[i];
+      HzbPage *page = records->pages.all->pdata[i];
       page->stale = TRUE;
       page->replaces_retired = records->retiring && !page->retiring;
     }
@@ -566,12 +430,12 @@
 }
 
 static cJSON *
-pack_progress_page (HzbRecords *records, Page *page, Flush *out)
+pack_progress_page (HzbRecords *records, HzbPage *page, Flush *out)
 {
   cJSON *value = cJSON_CreateObject ();
   for (guint i = 0; i < page->parts->len; i++)
     {
-      const Part *part = &g_array_index (page->parts, Part, i);
+      const HzbPagePart *part = &g_array_index (page->parts, HzbPagePart, i);
       HzbJob *job = part->job;
       FlushedPart *fp = g_new0 (FlushedPart, 1);
       g_autofree char *name = g_strdup_printf ("%s/%u", job->uid, part->chunk);
@@ -592,7 +456,7 @@
 }
 
 static cJSON *
-pack_machine_page (HzbRecords *records, Page *page, Flush *out)
+pack_machine_page (HzbRecords *records, HzbPage *page, Flush *out)
 {
   cJSON *value = cJSON_CreateObject ();
   for (guint i = 0; i < page->machines->len; i++)
@@ -622,7 +486,7 @@
 
 /* How long the page may wait, as of its last writing; below 0: it need not be written. */
 static double
-max_delay_s (const HzbRecords *records, const Page *page, double progress_s)
+max_delay_s (const HzbRecords *records, const HzbPage *page, double progress_s)
 {
   if (page->retiring)
     return page->exists && may_remove_retired (records) ? CLEAN_EVERY_S : -1;
@@ -633,7 +497,7 @@
         return 0;
     }
   for (guint i = 0; i < page->parts->len; i++)
-    if (release_requested (g_array_index (page->parts, Part, i).job))
+    if (release_requested (g_array_index (page->parts, HzbPagePart, i).job))
       return 0;
   if (page->replaces_retired)
     return FLUSH_EVERY_S;
@@ -646,16 +510,16 @@
 static gint
 longest_unwritten (gconstpointer a, gconstpointer b)
 {
-  const Page *x = *(Page *const *) a, *y = *(Page *const *) b;
+  const HzbPage *x = *(HzbPage *const *) a, *y = *(HzbPage *const *) b;
   if (x->urgent != y->urgent)
     return x->urgent ? -1 : 1;
   return hzb_time_before (x->written, y->written) ? -1 : hzb_time_before (y->written, x->written);
 }
 
 static void
-put_page (HzbRecords *records, Page *page, cJSON *txn, Flush *out, struct timespec now)
+put_page (HzbRecords *records, HzbPage *page, cJSON *txn, Flush *out, struct timespec now)
 {
-  g_autofree char *key = page_key (page);
+  g_autofree char *key = hzb_page_key (page);
 
   page->stale = page->dirty = page->replaces_retired = FALSE;
   page->written = now;
@@ -672,18 +536,11 @@
   page->exists = TRUE;
 }
 
+/* Jobs and machines with news get their places. */
 static void
-flush (HzbRecords *records, struct timespec now)
+place_on_pages (HzbRecords *records)
 {
   HzbController *controller = records->controller;
-  g_autoptr (GPtrArray) due = g_ptr_array_new ();
-  guint room = controller->settings->store_txn_ops - 1;
-  gsize bytes = 0;
-  HzbAcceptance *completed;
-  gboolean clean, any_replacement = FALSE;
-  double progress_s = 0;
-  Flush *out;
-  cJSON *txn, *value;
 
   for (guint i = 0; i < controller->jobs->active->len; i++)
     {
@@ -691,130 +548,134 @@
       if (!job->on_pages && (job->dirty || release_requested (job) || (job->unsplit && writable (records, job))))
         put_on_pages (records, job);
     }
-  for (guint i = 0; i < records->pages->len; i++)
+  for (guint i = 0; i < controller->machines->all->len; i++)
     {
-      Page *page = records->pages->pdata[i];
-      for (guint k = 0; k < page->parts->len && !page->dirty; k++)
-        page->dirty = g_array_index (page->parts, Part, k).job->dirty;
+      HzbMachine *machine = controller->machines->all->pdata[i];
+      if (!machine->page && machine->session && !machine->recorded)
+        hzb_page_add_machine (hzb_pages_with_room (&records->pages, TRUE, hzb_page_machine_bytes (machine)), machine);
     }
-  for (guint i = 0; i < controller->jobs->active->len; i++)
-    ((HzbJob *) controller->jobs->active->pdata[i])->dirty = FALSE;
-  for (guint i = 0; i < records->pages->len; i++)
+}
+
+/* What is news of jobs becomes news of their pages. Returns: how many pages have any. */
+static guint
+mark_dirty_pages (HzbRecords *records)
+{
+  GPtrArray *active = records->controller->jobs->active;
+  guint dirty = 0;
+
+  for (guint i = 0; i < records->pages.all->len; i++)
     {
-      progress_s += ((Page *) records->pages->pdata[i])->dirty;
-      any_replacement = any_replacement || ((Page *) records->pages->pdata[i])->replaces_retired;
+      HzbPage *page = records->pages.all->pdata[i];
+      for (guint k = 0; k < page->parts->len && !page->dirty; k++)
+        page->dirty = g_array_index (page->parts, HzbPagePart, k).job->dirty;
+      dirty += page->dirty;
     }
-  records->any_replacement = any_replacement; /* the flushes before have been applied, or set it again */
-  progress_s = MAX (PROGRESS_EVERY_S, progress_s / (PROGRESS_PART * controller->settings->store_write_rps));
-  for (guint i = 0; i < controller->machines->all->len; i++)
+  for (guint i = 0; i < active->len; i++)
+    ((HzbJob *) active->pdata[i])->dirty = FALSE;
+  return dirty;
+}
+
+/* Returns: (transfer container): the pages that are to be written now, the most urgent ones first. */
+static GPtrArray *
+due_pages (HzbRecords *records, guint dirty, struct timespec now)
+{
+  double write_rps = records->controller->settings->store_write_rps;
+  double progress_s = MAX (PROGRESS_EVERY_S, dirty / (PROGRESS_PART * write_rps));
+  GPtrArray *due = g_ptr_array_new ();
+
+  records->any_replacement = FALSE; /* the flushes before have been applied, or set it again */
+  for (guint i = 0; i < records->pages.all->len; i++)
     {
-      HzbMachine *machine = controller->machines->all->pdata[i];
-      if (!machine->page && machine->session && !machine->recorded)
-        add_machine (page_with_room (records, TRUE, machine_bytes (machine)), machine);
+      const HzbPage *page = records->pages.all->pdata[i];
+      records->any_replacement = records->any_replacement || page->replaces_retired;
     }
-  for (guint i = 0; i < records->pages->len; i++)
+  for (guint i = 0; i < records->pages.all->len; i++)
     {
-      Page *page = records->pages->pdata[i];
+      HzbPage *page = records->pages.all->pdata[i];
       double wait = max_delay_s (records, page, progress_s);
       page->urgent = wait == 0;
       if (wait >= 0 && hzb_time_between (page->written, now) >= wait)
         g_ptr_array_add (due, page);
     }
-  clean = !hzb_time_before (now, records->next_clean) && hzb_jobs_completed_acceptance (controller->jobs);
-  if (!due->len && !clean)
-    return;
   /* Guards against pages at the end of the row never being written while those before them always have news. */
   g_ptr_array_sort (due, longest_unwritten);
-  out = g_new0 (Flush, 1);
-  out->parts = g_ptr_array_new_with_free_func (flushed_part_free);
-  out->machines = g_ptr_array_new_with_free_func (g_free);
-  out->completed = g_ptr_array_new_with_free_func (g_free);
-  out->number = ++records->flushes;
-  txn = hzb_wire_txn ();
+  return due;
+}
+
+static Flush *
+flush_new (HzbRecords *records)
+{
+  Flush *flush = g_new0 (Flush, 1);
+  flush->parts = g_ptr_array_new_with_free_func (flushed_part_free);
+  flush->machines = g_ptr_array_new_with_free_func (g_free);
+  flush->completed = g_ptr_array_new_with_free_func (g_free);
+  flush->number = ++records->flushes;
+  return flush;
+}
+
+/* The transaction, with the flush record in it. */
+static cJSON *
+begin_transaction (HzbRecords *records, const Flush *flush)
+{
+  HzbController *controller = records->controller;
+  cJSON *txn = hzb_wire_txn (), *value = cJSON_CreateObject ();
+
   hzb_election_add_condition (controller->election, txn);
   hzb_wire_txn_if (txn, HZB_KEY_FLUSH, records->version);
-  value = cJSON_CreateObject ();
-  hzb_json_add_u64 (value, "n", out->number);
+  hzb_json_add_u64 (value, "n", flush->number);
   hzb_json_add_u64 (value, "term", hzb_election_term (controller->election));
   hzb_json_add_u64 (value, "clear", hzb_cancellations_acknowledged_revision (controller->cancellations));
   hzb_wire_txn_put (txn, HZB_KEY_FLUSH, value, 0);
-  for (guint i = 0; i < due->len && room && (!i || bytes + ((Page *) due->pdata[i])->bytes <= TXN_BYTES); i++, room--)
-    {
-      Page *page = due->pdata[i];
-      bytes += page->bytes;
-      put_page (records, page, txn, out, now);
-    }
-  for (; clean && room && (completed = hzb_jobs_completed_acceptance (controller->jobs)); room--)
-    {
-      completed->removing = TRUE;
-      hzb_wire_txn_delete (txn, completed->key);
-      g_ptr_array_add (out->completed, g_strdup (completed->key));
-    }
-  if (clean)
-    records->next_clean = hzb_time_plus (now, CLEAN_EVERY_S);
-  records->flushing = TRUE;
-  hzb_store_txn (controller->store, HZB_STORE_RECORD, txn, on_flushed, hzb_epoch_call_new (controller, out));
+  return txn;
 }
 
-/* ---- records of old jobs ---- */
-
 static void
-on_moved (HzbStoreResult result, const char *body, gpointer user)
+remove_completed_acceptances (HzbRecords *records, cJSON *txn, Flush *flush, guint room)
 {
-  HzbEpochCall *epoch_call = user;
-  HzbController *controller = epoch_call->controller;
-  g_autoptr (GPtrArray) uids = epoch_call->data;
-  g_autoptr (GPtrArray) failed = NULL;
+  HzbJobs *jobs = records->controller->jobs;
+  HzbAcceptance *completed;
 
-  if (result == HZB_STORE_CONFLICT)
-    hzb_wire_parse_txn (body, NULL, &failed);
-  for (guint i = 0; i < uids->len && epoch_call->epoch == controller->ownership_epoch; i++)
+  for (; room && (completed = hzb_jobs_completed_acceptance (jobs)); room--)
     {
-      HzbJob *job = hzb_jobs_find (controller->jobs, uids->pdata[i]);
-      if (!job)
-        continue;
-      /* One that changed under us (moved by an earlier leader, which the mirror will show) is left alone. */
-      job->moving = FALSE;
-      for (guint k = 0; failed && k < failed->len; k++)
-        job->moving = job->moving || g_str_has_suffix (failed->pdata[k], job->uid);
+      completed->removing = TRUE;
+      hzb_wire_txn_delete (txn, completed->key);
+      g_ptr_array_add (flush->completed, g_strdup (completed->key));
     }
-  if (epoch_call->epoch == controller->ownership_epoch)
-    controller->records->moving = FALSE;
-  g_free (epoch_call);
 }
 
-/* Each is in one of the two places at any time: it moves in one transaction. */
 static void
-move_old (HzbRecords *records, struct timespec now)
+flush (HzbRecords *records, struct timespec now)
 {
   HzbController *controller = records->controller;
-  g_autoptr (GPtrArray) old = NULL;
-  GPtrArray *uids;
+  g_autoptr (GPtrArray) due = NULL;
+  guint room = controller->settings->store_txn_ops - 1; /* beside the flush record */
+  gsize bytes = 0;
+  gboolean clean;
+  Flush *out;
   cJSON *txn;
 
-  if (records->moving || hzb_time_before (now, records->next_move))
-    return;
-  old = hzb_jobs_ended_long_ago (controller->jobs, MAX (1, controller->settings->store_txn_ops / 2));
-  records->next_move =
-      hzb_time_plus (now, MAX (MOVE_EVERY_S, old->len * 2 / (MOVE_PART * controller->settings->store_write_rps)));
-  if (!old->len)
+  place_on_pages (records);
+  due = due_pages (records, mark_dirty_pages (records), now);
+  clean = !hzb_time_before (now, records->next_clean) && hzb_jobs_completed_acceptance (controller->jobs);
+  if (!due->len && !clean)
     return;
-  uids = g_ptr_array_new_with_free_func (g_free);
-  txn = hzb_wire_txn ();
-  hzb_election_add_condition (controller->election, txn);
-  for (guint i = 0; i < old->len; i++)
+  out = flush_new (records);
+  txn = begin_transaction (records, out);
+  for (guint i = 0; i < due->len && room; i++, room--)
     {
-      HzbJob *job = old->pdata[i];
-      g_autofree char *from = g_strconcat (HZB_KEY_JOBS, job->uid, NULL),
-                      *to = g_strconcat (HZB_KEY_ENDED, job->uid, NULL);
-      hzb_wire_txn_if (txn, from, job->version);
-      hzb_wire_txn_put (txn, to, hzb_jobs_pack_final (job->state, job->n_tasks), 0);
-      hzb_wire_txn_delete (txn, from);
-      job->moving = TRUE;
-      g_ptr_array_add (uids, g_strdup (job->uid));
+      HzbPage *page = due->pdata[i];
+      if (i && bytes + page->bytes > TXN_BYTES)
+        break;
+      bytes += page->bytes;
+      put_page (records, page, txn, out, now);
     }
-  records->moving = TRUE;
-  hzb_store_txn (controller->store, HZB_STORE_RECORD, txn, on_moved, hzb_epoch_call_new (controller, uids));
+  if (clean)
+    {
+      remove_completed_acceptances (records, txn, out, room);
+      records->next_clean = hzb_time_plus (now, CLEAN_EVERY_S);
+    }
+  records->flushing = TRUE;
+  hzb_store_txn (controller->store, HZB_STORE_RECORD, txn, on_flushed, hzb_epoch_call_new (controller, out));
 }
 
 void
@@ -824,7 +685,7 @@
   struct timespec now = hzb_clock_now (controller->clock);
   if (controller->ownership < HZB_OWNERSHIP_RECOVERING || !hzb_election_leading (controller->election))
     return;
-  move_old (records, now);
+  hzb_old_ends_tick (controller->old_ends, now);
   if (records->unresolved && !hzb_time_before (now, records->next))
     read_flush (records);
   if (records->flushing || hzb_time_before (now, records->next))
