Tests: the large fleet stands once; owner.c, submissions.c, peers.c and cancellations.c: names that say what they are

Need: the size and the making of a large fleet stood twice, a summary of the fleet kept its CPUs in 'epoch_call', and the tests still spoke of worlds, which the glossary gave up.

--- a/src/cancellations.c
+++ b/src/cancellations.c
@@ -176,20 +176,20 @@
 {
   HzbController *controller = cancellations->controller;
   cJSON *acknowledged = cJSON_CreateArray ();
-  const cJSON *of;
+  const cJSON *asked;
 
-  cJSON_ArrayForEach (of, request)
+  cJSON_ArrayForEach (asked, request)
     {
-      guint64 version = hzb_json_u64 (of, "version");
+      guint64 version = hzb_json_u64 (asked, "version");
       HzbJob *job;
-      if (!version || !hzb_wire_uid_ok (of->string))
+      if (!version || !hzb_wire_uid_ok (asked->string))
         continue;
       /* Perhaps before this node's own mirror shows it, which may be refused, or behind. */
-      job = hzb_jobs_find (controller->jobs, of->string);
+      job = hzb_jobs_find (controller->jobs, asked->string);
       if (!job || !job->version)
         {
-          cJSON *record = hzb_jobs_pack_final (HZB_JOB_CANCELLED, (guint) hzb_json_number (of, "n", 0));
-          job = hzb_jobs_apply (controller->jobs, of->string, record, version);
+          cJSON *record = hzb_jobs_pack_final (HZB_JOB_CANCELLED, (guint) hzb_json_number (asked, "n", 0));
+          job = hzb_jobs_apply (controller->jobs, asked->string, record, version);
           cJSON_Delete (record);
         }
       if (job && acknowledged_by_all (controller, job))
--- a/src/owner.c
+++ b/src/owner.c
@@ -79,45 +79,55 @@
     }
 }
 
+/* What the log says of the fleet; sums of CPUs. */
+typedef struct
+{
+  guint up, leased, booting, other; /* machines */
+  double up_cpus, spare_cpus, booting_cpus;
+  double held_cpus, running_cpus, waiting_cpus; /* of tasks */
+} FleetSummary;
+
+static void
+count_machine (FleetSummary *summary, const HzbMachine *machine)
+{
+  if ((machine->state == HZB_MACHINE_ACTIVE || machine->state == HZB_MACHINE_LEASED) && machine->type)
+    {
+      summary->up++;
+      summary->leased += machine->state == HZB_MACHINE_LEASED;
+      summary->up_cpus += machine->type->cpus;
+      summary->spare_cpus += machine->spare ? machine->type->cpus : 0;
+    }
+  else if (machine->state == HZB_MACHINE_BOOTING && machine->type)
+    {
+      summary->booting++;
+      summary->booting_cpus += machine->type->cpus;
+    }
+  else
+    summary->other++;
+}
+
 /* One line that tells an operator how the fleet stands, leased machines included. */
 static void
 log_summary (HzbController *controller)
 {
-  guint up = 0, leased = 0, booting = 0, other = 0;
-  double cpus = 0, spare = 0, booting_cpus = 0, running = 0, epoch_call = 0, waiting = 0;
+  FleetSummary summary = { 0 };
 
   for (guint i = 0; i < controller->machines->all->len; i++)
-    {
-      const HzbMachine *machine = controller->machines->all->pdata[i];
-      if ((machine->state == HZB_MACHINE_ACTIVE || machine->state == HZB_MACHINE_LEASED) && machine->type)
-        {
-          up++;
-          leased += machine->state == HZB_MACHINE_LEASED;
-          cpus += machine->type->cpus;
-          spare += machine->spare ? machine->type->cpus : 0;
-        }
-      else if (machine->state == HZB_MACHINE_BOOTING && machine->type)
-        {
-          booting++;
-          booting_cpus += machine->type->cpus;
-        }
-      else
-        other++;
-    }
+    count_machine (&summary, controller->machines->all->pdata[i]);
   for (guint i = 0; i < controller->jobs->active->len; i++)
     {
       const HzbJob *job = controller->jobs->active->pdata[i];
       if (job->state != HZB_JOB_ACCEPTED)
         continue;
-      waiting += (job->pending + job->listed) * job->spec->cpus;
-      epoch_call += job->placed * job->spec->cpus;
-      running += (job->running + job->delegated_running) * job->spec->cpus;
+      summary.waiting_cpus += (job->pending + job->listed) * job->spec->cpus;
+      summary.held_cpus += job->placed * job->spec->cpus;
+      summary.running_cpus += (job->running + job->delegated_running) * job->spec->cpus;
     }
   g_message (
       "fleet: %u up, %u of them leased (%g CPUs: %g held, %g running; %g spare), %u booting (%g CPUs), %u other; %g CPUs' "
       "worth wait; timers are %.0f ms late",
-      up, leased, cpus, epoch_call, running, spare, booting, booting_cpus, other, waiting,
-      controller->dispatch->lag_s * 1e3);
+      summary.up, summary.leased, summary.up_cpus, summary.held_cpus, summary.running_cpus, summary.spare_cpus,
+      summary.booting, summary.booting_cpus, summary.other, summary.waiting_cpus, controller->dispatch->lag_s * 1e3);
 }
 
 /* A task waits only for machines that could have been told to start it: a replica, say, for no spot machine. */
--- a/src/peers.c
+++ b/src/peers.c
@@ -378,12 +378,12 @@
     hzb_leases_request (controller->leases, exchange, root);
   else
     {
-      cJSON *word = cJSON_CreateObject ();
-      cJSON_AddNumberToObject (word, "format", controller->format);
+      cJSON *heartbeat = cJSON_CreateObject ();
+      cJSON_AddNumberToObject (heartbeat, "format", controller->format);
       apply_heartbeat (controller->peers, view, root);
-      pack_heartbeat (controller->peers, word);
-      hzb_exchange_reply (exchange, 200, cJSON_PrintUnformatted (word), 0);
-      cJSON_Delete (word);
+      pack_heartbeat (controller->peers, heartbeat);
+      hzb_exchange_reply (exchange, 200, cJSON_PrintUnformatted (heartbeat), 0);
+      cJSON_Delete (heartbeat);
     }
   cJSON_Delete (root);
 }
--- a/src/submissions.c
+++ b/src/submissions.c
@@ -210,17 +210,17 @@
 static void
 drop_unknown_types (HzbController *controller, HzbSpec *spec)
 {
-  g_autoptr (GStrvBuilder) reserved = g_strv_builder_new ();
+  g_autoptr (GStrvBuilder) known = g_strv_builder_new ();
   if (!spec->types)
     return;
   for (guint i = 0; i < controller->machines->types->len; i++)
     {
       const HzbMachineType *type = controller->machines->types->pdata[i];
       if (g_strv_contains ((const char *const *) spec->types, type->name))
-        g_strv_builder_add (reserved, type->name);
+        g_strv_builder_add (known, type->name);
     }
   g_strfreev (spec->types);
-  spec->types = g_strv_builder_end (reserved);
+  spec->types = g_strv_builder_end (known);
 }
 
 void
--- a/tests/sim-cluster.c
+++ b/tests/sim-cluster.c
@@ -113,13 +113,13 @@
                               sim->size.team_guarantee, sim->size.team_max);
     }
   g_string_append (text, "[[cluster.teams]]\nname = \"guest\"\ncpus = 0\ncpus_max = 0\n");
-  settings = hzb_settings_parse (text->str, "world", &error);
+  settings = hzb_settings_parse (text->str, "simulated", &error);
   g_assert_no_error (error);
   g_string_free (text, TRUE);
   node->life++;
   node->transport = g_new0 (SimTransport, 1);
   node->transport->parent.send = sim_send;
-  node->transport->world = sim;
+  node->transport->sim = sim;
   node->transport->at = at;
   node->transport->life = node->life;
   node->controller = hzb_controller_new (settings, sim->clock, &node->transport->parent, g_rand_int (sim->rand));
@@ -146,7 +146,7 @@
   return -1;
 }
 
-/* The usual little world; small pages, so that reading on is tried. */
+/* The usual little deployment; small pages, so that reading on is tried. */
 const SimSize sim_size_little = { .machines = 12,
                                   .teams = 2,
                                   .team_max = 24,
@@ -160,6 +160,21 @@
                                   .cloud_rps = 6,
                                   .rows = 5 };
 
+const SimSize sim_size_large = { .machines = 1800,
+                                 .teams = 8,
+                                 .team_max = 3000,
+                                 .team_guarantee = 800,
+                                 .report_s = 5,
+                                 .lease_s = 26.5,
+                                 .cancel_s = 46.5,
+                                 .store_rps = 800,
+                                 .store_write_rps = 70,
+                                 .txn_ops = 16,
+                                 .cloud_rps = 15,
+                                 .rows = 500,
+                                 .check_s = 0.5,
+                                 .kept_changes = 10000 };
+
 Sim *
 sim_new (guint32 seed)
 {
--- a/tests/sim-cluster.h
+++ b/tests/sim-cluster.h
@@ -1,4 +1,4 @@
-/* A small world in simulated time: fakes of the state service, the cloud, the workers and the users,
+/* A small deployment in simulated time: fakes of the state service, the cloud, the workers and the users,
  * written from the published protocol, around real controllers. After every step the rules are checked. */
 #pragma once
 #include "controller.h"
@@ -10,14 +10,14 @@
 typedef struct
 {
   HzbTransport parent;
-  Sim *world;
+  Sim *sim;
   guint at, life; /* life: counts processes */
 } SimTransport;
 
 typedef struct
 {
   HzbController *controller; /* NULL: down */
-  HzbClock *clock;           /* the world's */
+  HzbClock *clock;           /* the simulated one */
   SimTransport *transport;
   guint life;
   gboolean cut_store, cut_peers, cut_workers, refused;
@@ -48,7 +48,7 @@
   double lease_from, next_report;
   guint node, report_number;
   gboolean asking;
-  GPtrArray *tasks; /* WorldTask */
+  GPtrArray *tasks; /* SimTask */
 } SimMachine;
 
 typedef struct
@@ -124,13 +124,14 @@
   SimSize size;
   double next_check, next_wait_check, next_silence_check, counted_at;
   double calm_at;               /* all troubles are over; 0: nobody said */
-  GHashTable *by_uid;           /* WorldJob */
+  GHashTable *by_uid;           /* SimJob */
   guint requests, rows_read;    /* of the state service */
   guint rentals, most_returned; /* calls */
   guint oversized_requests;     /* between controllers: larger than a request may be */
 };
 
-extern const SimSize sim_size_little; /* what world_new() takes */
+extern const SimSize sim_size_little; /* what sim_new() takes */
+extern const SimSize sim_size_large;  /* a fleet of up to 1,800 machines */
 Sim *sim_new (guint32 seed);
 Sim *sim_new_sized (guint32 seed, const SimSize *size);
 void sim_free (Sim *sim);
--- a/tests/sim-faults.c
+++ b/tests/sim-faults.c
@@ -1,4 +1,4 @@
-/* What several world tests do to a world, and what they expect of it. */
+/* What several tests do to the simulated cluster, and what they expect of it. */
 #include "sim-faults.h"
 
 #include <string.h>
@@ -248,3 +248,27 @@
   cJSON_Delete (root);
   return ask (sim, node, "POST", "/api/jobs", text, NULL);
 }
+
+void
+many_jobs (Sim *sim, guint n, double over_s, double run_s)
+{
+  for (guint i = 0; i < n; i++)
+    {
+      g_autofree char *team = i % 8 < 2 ? g_strdup (i % 8 ? "blue" : "red") : g_strdup_printf ("team-%02u", i % 8);
+      sim_add_job (sim, 1 + over_s * i / n, team, (guint) g_rand_int_range (sim->rand, 10, 60), 1,
+                   g_rand_double_range (sim->rand, 0.5 * run_s, 1.5 * run_s))
+          ->spot = TRUE;
+    }
+}
+
+Sim *
+large_fleet (guint32 seed, guint machines, guint jobs, double run_s)
+{
+  Sim *sim = sim_new_sized (seed, &sim_size_large);
+  for (guint i = 0; i < machines; i++)
+    sim_add_machine (sim, i % 3 ? "small" : "big", i % 2 ? "za" : "zb", TRUE, g_rand_double_range (sim->rand, 1, 5));
+  many_jobs (sim, jobs, 10, run_s);
+  sim_run (sim, 25);
+  expect_no_fault (sim, "a large fleet at work", 0);
+  return sim;
+}
--- a/tests/sim-faults.h
+++ b/tests/sim-faults.h
@@ -1,4 +1,4 @@
-/* What several world tests do to a world, and what they expect of it. */
+/* What several tests do to the simulated cluster, and what they expect of it. */
 #pragma once
 #include "sim-cluster.h"
 
@@ -20,9 +20,13 @@
 guint report_again (Sim *sim, SimMachine *machine, guint64 session, guint64 seq, const char *task_reports);
 /* A service spread over zones, on ordinary machines, whose user cancels it from then on. */
 SimJob *add_service (Sim *sim, double at, const char *team, guint n, double cpus, double cancel_at);
-/* A user's request to one node; the world runs on for 3 s. retry: its Retry-After, or NULL. */
+/* A user's request to one node; the cluster runs on for 3 s. retry: its Retry-After, or NULL. */
 guint ask (Sim *sim, guint node, const char *method, const char *path, const char *body, guint *retry);
 guint submit_service (Sim *sim, guint node, guint uid, const char *team, guint n, double cpus, const char *expect,
                       guint *retry);
 /* A service of two replicas with one field changed; value NULL: without the field. */
 guint submit_changed (Sim *sim, guint node, guint uid, const char *field, const char *value);
+/* So many arrays of 10 to 59 tasks, of all teams of sim_size_large in turn, submitted within over_s. */
+void many_jobs (Sim *sim, guint n, double over_s, double run_s);
+/* So many machines of sim_size_large, at work for some 15 s. */
+Sim *large_fleet (guint32 seed, guint machines, guint jobs, double run_s);
--- a/tests/sim-network.c
+++ b/tests/sim-network.c
@@ -188,7 +188,7 @@
           HzbReplyFunc done, gpointer user)
 {
   SimTransport *from = (SimTransport *) transport;
-  Sim *sim = from->world;
+  Sim *sim = from->sim;
   SimCall *call = g_new0 (SimCall, 1);
   call->node = from->at;
   call->life = from->life;
--- a/tests/test-forgotten.c
+++ b/tests/test-forgotten.c
@@ -2,42 +2,9 @@
  * about it is answered within 75 s once the faults are over, and within 90 s while most others get answers. */
 #include "sim-faults.h"
 
-static const SimSize large = { .machines = 1500,
-                               .teams = 8,
-                               .team_max = 3000,
-                               .team_guarantee = 800,
-                               .report_s = 5,
-                               .lease_s = 26.5,
-                               .cancel_s = 46.5,
-                               .store_rps = 800,
-                               .store_write_rps = 70,
-                               .txn_ops = 16,
-                               .cloud_rps = 15,
-                               .rows = 500,
-                               .check_s = 0.5,
-                               .kept_changes = 10000 };
-
 /* While leaders end: a change takes some 5 s, and a third of the questions go to a node that is down. */
 #define LONGEST_SILENCE_S 45.0
 
-static Sim *
-large_fleet (guint32 seed, guint machines, guint jobs, double run_s)
-{
-  Sim *sim = sim_new_sized (seed, &large);
-  for (guint i = 0; i < machines; i++)
-    sim_add_machine (sim, i % 3 ? "small" : "big", i % 2 ? "za" : "zb", TRUE, g_rand_double_range (sim->rand, 1, 5));
-  for (guint i = 0; i < jobs; i++)
-    {
-      g_autofree char *team = i % 8 < 2 ? g_strdup (i % 8 ? "blue" : "red") : g_strdup_printf ("team-%02u", i % 8);
-      sim_add_job (sim, 1 + 10.0 * i / jobs, team, (guint) g_rand_int_range (sim->rand, 10, 60), 1,
-                   g_rand_double_range (sim->rand, 0.5 * run_s, 1.5 * run_s))
-          ->spot = TRUE;
-    }
-  sim_run (sim, 25);
-  expect_no_fault (sim, "a large fleet at work", seed);
-  return sim;
-}
-
 static double
 longest_silence_s (const Sim *sim, const SimJob **of)
 {
@@ -233,7 +200,7 @@
 static void
 test_much_to_say (void)
 {
-  Sim *sim = sim_new_sized (350, &large);
+  Sim *sim = sim_new_sized (350, &sim_size_large);
   for (guint i = 0; i < 300; i++)
     sim_add_machine (sim, "big", i % 2 ? "za" : "zb", TRUE, g_rand_double_range (sim->rand, 1, 5));
   for (guint i = 0; i < 60; i++)
@@ -366,7 +333,7 @@
 static void
 play_faults (guint32 seed, guint machines)
 {
-  SimSize size = large;
+  SimSize size = sim_size_large;
   Sim *sim;
   const SimJob *job = NULL;
   double end = 0, longest;
--- a/tests/test-records.c
+++ b/tests/test-records.c
@@ -30,7 +30,7 @@
   sim_free (sim);
 }
 
-/* Many transactions come late. The world checks that no record of progress ever goes back, as one would if an
+/* Many transactions come late. The simulated cluster checks that no record of progress ever goes back, as one would if an
  * older set of results overwrote a newer one of the same term. */
 static void
 test_late_flush (void)
--- a/tests/test-scale.c
+++ b/tests/test-scale.c
@@ -5,20 +5,6 @@
 
 #define MACHINES 1800u
 
-static const SimSize large = { .machines = MACHINES,
-                               .teams = 8,
-                               .team_max = 3000,
-                               .team_guarantee = 800,
-                               .report_s = 5,
-                               .lease_s = 26.5,
-                               .cancel_s = 46.5,
-                               .store_rps = 800,
-                               .store_write_rps = 70,
-                               .txn_ops = 16,
-                               .cloud_rps = 15,
-                               .rows = 500,
-                               .check_s = 0.5 };
-
 /* ---- what a decision costs ---- */
 
 static guint
@@ -69,32 +55,7 @@
     }
 }
 
-/* ---- worlds ---- */
-
-static void
-many_jobs (Sim *sim, guint n, double over_s, double run_s)
-{
-  for (guint i = 0; i < n; i++)
-    {
-      g_autofree char *team = i % 8 < 2 ? g_strdup (i % 8 ? "blue" : "red") : g_strdup_printf ("team-%02u", i % 8);
-      sim_add_job (sim, 1 + over_s * i / n, team, (guint) g_rand_int_range (sim->rand, 10, 60), 1,
-                   g_rand_double_range (sim->rand, 0.5 * run_s, 1.5 * run_s))
-          ->spot = TRUE;
-    }
-}
-
-/* A fleet of this size at work. */
-static Sim *
-large_world (guint32 seed, guint machines, guint jobs, double run_s)
-{
-  Sim *sim = sim_new_sized (seed, &large);
-  for (guint i = 0; i < machines; i++)
-    sim_add_machine (sim, i % 3 ? "small" : "big", i % 2 ? "za" : "zb", TRUE, g_rand_double_range (sim->rand, 1, 5));
-  many_jobs (sim, jobs, 10, run_s);
-  sim_run (sim, 25);
-  expect_no_fault (sim, "a large fleet at work", 0);
-  return sim;
-}
+/* ---- the simulated cluster ---- */
 
 static guint
 running (Sim *sim)
@@ -122,7 +83,7 @@
 static void
 test_half_falls (void)
 {
-  Sim *sim = large_world (11, MACHINES, 150, 60);
+  Sim *sim = large_fleet (11, MACHINES, 150, 60);
   guint rentals;
   for (guint i = 0; i < sim->machines->len; i += 2)
     {
@@ -147,7 +108,7 @@
 static void
 test_takeover (void)
 {
-  Sim *sim = large_world (12, MACHINES, 150, 200);
+  Sim *sim = large_fleet (12, MACHINES, 150, 200);
   guint started, cut = 0, written, at = (guint) MAX (sim_leader (sim), 0);
   double began;
   for (guint i = 0; i < sim->machines->len && cut < 300; i++)
@@ -179,7 +140,7 @@
 static void
 test_begin_anew (void)
 {
-  Sim *sim = large_world (13, MACHINES, 200, 100);
+  Sim *sim = large_fleet (13, MACHINES, 200, 100);
   guint rows, requests, work = running (sim);
   double began;
   for (guint i = 0; i < SIM_NODES; i++)
@@ -212,7 +173,7 @@
 static void
 test_stands_still (void)
 {
-  Sim *sim = large_world (14, 900, 120, 40);
+  Sim *sim = large_fleet (14, 900, 120, 40);
   int old = sim_leader (sim);
   g_assert_cmpint (old, !=, -1);
   sim->nodes[old].paused = TRUE;
--- a/tests/test-upgrade.c
+++ b/tests/test-upgrade.c
@@ -103,7 +103,7 @@
         }
       sim_run (sim, 60);
       sim->most_value = 2048;
-      sim->most_changes = 8; /* as the settings of the world say, of 8 */
+      sim->most_changes = 8; /* as the settings say, of 8 */
       sim_at (sim, 70, crash_one, NULL);
       sim_at (sim, 76, start_all, NULL);
       sim_at (sim, 85, hurt_machine, NULL);
