An answer to a poll, or to a renewal, of before is not taken for one of now

Cause, found while looking for replies that outlive what they were asked in: - A lessee that has heard nothing for 5 s gives its block up. If the answer to its last poll came after that, it held the block again by that answer, under the same token and without all that it had been sent. Now the answer counts only in the ownership in which it was asked for; and the leader takes a block back whose lessee acknowledges less than it did before, so a lessee of an earlier version does no harm either.

--- a/src/block-leases.c
+++ b/src/block-leases.c
@@ -38,6 +38,7 @@
   guint64 token; /* 0: holds no block */
   struct timespec requests, steady_since;
   HzbOutbox out;
+  guint64 acknowledged; /* it has taken the messages up to this number */
   guint64 in_number;
   GHashTable *running, *leaving; /* uid -> count, as it last said */
   double ran_s;                  /* of the task that the event at hand is about */
@@ -81,7 +82,7 @@
       g_clear_pointer (&lessee->incarnation, g_free);
       g_hash_table_remove_all (lessee->running);
       g_hash_table_remove_all (lessee->leaving);
-      lessee->token = lessee->in_number = 0;
+      lessee->token = lessee->in_number = lessee->acknowledged = 0;
       lessee->holds = FALSE;
       lessee->requests = lessee->steady_since = (struct timespec){ 0 };
     }
@@ -181,7 +182,7 @@
   set_running (leases, lessee, NULL, NULL);
   g_message ("block of %s is taken back with %u machines and %u tasks: %s", lessee->peer->node, machines, tasks, why);
   hzb_outbox_clear (&lessee->out);
-  lessee->token = lessee->in_number = 0;
+  lessee->token = lessee->in_number = lessee->acknowledged = 0;
   lessee->holds = FALSE;
   lessee->steady_since = hzb_clock_now (controller->clock);
 }
@@ -727,6 +728,10 @@
     lessee->holds = TRUE;
   else if (!token && lessee->holds)
     reclaim_block (leases, lessee, "it has let go");
+  /* Guards against a lessee that holds the block anew without what it was sent before (those of earlier versions could):
+   * nothing in it would ever be heard of again. */
+  if (token && token == lessee->token && hzb_json_u64 (root, "have") < lessee->acknowledged)
+    reclaim_block (leases, lessee, "it has lost what it held");
   reply = cJSON_CreateObject ();
   hzb_json_add_u64 (reply, "term", hzb_election_term (controller->election));
   if (cJSON_HasObjectItem (root, "cancelled"))
@@ -740,7 +745,8 @@
       if (token)
         {
           /* An answer to an older question may have been lost: what it brought comes again. */
-          hzb_outbox_acknowledged (&lessee->out, hzb_json_u64 (root, "have"));
+          lessee->acknowledged = MAX (lessee->acknowledged, hzb_json_u64 (root, "have"));
+          hzb_outbox_acknowledged (&lessee->out, lessee->acknowledged);
           cJSON_ArrayForEach (event, cJSON_GetObjectItemCaseSensitive (root, "events"))
             if (hzb_json_u64 (event, "n") == lessee->in_number + 1)
               {
--- a/src/election.c
+++ b/src/election.c
@@ -271,11 +271,20 @@
   hzb_store_txn (election->store, HZB_STORE_LEASE, txn, on_campaign, election);
 }
 
+/* A renewal, and of which lease. */
+typedef struct
+{
+  HzbElection *election;
+  guint64 lease;
+} Renewal;
+
 static void
 on_renewed (HzbStoreResult result, const char *body, gpointer user)
 {
-  HzbElection *election = user;
-  if (election->state != HZB_ELECTION_LEADING)
+  g_autofree Renewal *renewal = user;
+  HzbElection *election = renewal->election;
+  /* Guards against an answer about the lease of an earlier leadership: it says nothing about this one. */
+  if (election->state != HZB_ELECTION_LEADING || renewal->lease != election->lease)
     return;
   election->renewing = FALSE;
   if (result == HZB_STORE_OK)
@@ -287,6 +296,17 @@
     }
 }
 
+static void
+renew (HzbElection *election, struct timespec now)
+{
+  Renewal *renewal = g_new0 (Renewal, 1);
+  renewal->election = election;
+  renewal->lease = election->lease;
+  election->renewing = TRUE;
+  election->renew_sent = now;
+  hzb_store_renew (election->store, election->lease, on_renewed, renewal);
+}
+
 void
 hzb_election_apply_record (HzbElection *election, const HzbItem *item)
 {
@@ -336,11 +356,7 @@
   if (election->state == HZB_ELECTION_LEADING)
     {
       if (!election->renewing && hzb_time_between (election->renew_sent, now) >= RENEW_S)
-        {
-          election->renewing = TRUE;
-          election->renew_sent = now;
-          hzb_store_renew (election->store, election->lease, on_renewed, election);
-        }
+        renew (election, now);
       return;
     }
   if (election->state != HZB_ELECTION_FOLLOWING || !mirror_fresh || hzb_time_before (now, election->next))
--- a/src/lessee.c
+++ b/src/lessee.c
@@ -23,6 +23,7 @@
 {
   HzbController *controller;
   gboolean asking;
+  guint64 asked_epoch; /* the ownership in which the poll on its way was sent */
   guint64 token, in_number;
   HzbOutbox out;
   struct timespec requests, next_ask, next_maintenance, last_answer, valid_until;
@@ -250,7 +251,10 @@
   if (root)
     hzb_cancellations_handle_response (controller->cancellations, term,
                                        cJSON_GetObjectItemCaseSensitive (root, "heard"));
-  if (root && !hzb_election_leading (controller->election) && term == hzb_election_leader_term (controller->election))
+  /* Guards against an answer to a poll of before this node let go of its block: it would hold the block again without what
+   * it had been sent before, and the leader would go on believing that all of it is in good hands. */
+  if (root && lessee->asked_epoch == controller->ownership_epoch && !hzb_election_leading (controller->election)
+      && term == hzb_election_leader_term (controller->election))
     {
       if (cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (root, "end")))
         hzb_controller_end_leased (controller, "the leader took the block back");
@@ -363,6 +367,7 @@
   if (!addr || hzb_mirror_state (controller->mirror) != HZB_MIRROR_FOLLOWING)
     return;
   lessee->asking = TRUE;
+  lessee->asked_epoch = controller->ownership_epoch;
   lessee->requests = now;
   root = hzb_peers_message (controller->peers, HZB_PEER_BLOCK);
   if ((cancelled = hzb_cancellations_pack_request (controller->cancellations)))
--- a/tests/sim-cluster.h
+++ b/tests/sim-cluster.h
@@ -21,9 +21,11 @@
   SimTransport *transport;
   guint life;
   gboolean cut_store, cut_peers, cut_workers, refused;
-  gboolean old;    /* says and answers nothing that version 1 did not */
-  gboolean paused; /* still, while its clock runs on; what comes meanwhile it takes up on waking */
-  GPtrArray *late; /* what came */
+  gboolean refuses_peers;     /* connections of other controllers are refused at once */
+  double peer_answer_delay_s; /* what they answer comes so much later */
+  gboolean old;               /* says and answers nothing that version 1 did not */
+  gboolean paused;            /* still, while its clock runs on; what comes meanwhile it takes up on waking */
+  GPtrArray *late;            /* what came */
 } SimNode;
 
 typedef struct
--- a/tests/sim-faults.c
+++ b/tests/sim-faults.c
@@ -269,6 +269,6 @@
     sim_add_machine (sim, i % 3 ? "small" : "big", i % 2 ? "za" : "zb", TRUE, g_rand_double_range (sim->rand, 1, 5));
   many_jobs (sim, jobs, 10, run_s);
   sim_run (sim, 25);
-  expect_no_fault (sim, "a large fleet at work", 0);
+  expect_no_fault (sim, "a large fleet at work", seed);
   return sim;
 }
--- a/tests/sim-network.c
+++ b/tests/sim-network.c
@@ -93,12 +93,15 @@
 void
 sim_answer (Sim *sim, SimCall *call, guint status, char *body)
 {
+  const SimNode *node = &sim->nodes[call->node];
+  gboolean of_peer = !g_str_has_prefix (call->addr, "10.9.");
+  double late = of_peer && status ? node->peer_answer_delay_s : 0;
   call->status = status;
   call->reply = body;
   if (sim_chance (sim, sim->lose) || is_cut (sim, call))
     call_unref (call);
   else
-    sim_at (sim, sim->now + sim_delay (sim), on_answer, call);
+    sim_at (sim, sim->now + sim_delay (sim) + late, on_answer, call);
 }
 
 /* What a process of version 1 never said. */
@@ -141,7 +144,7 @@
       SimNode *target = &sim->nodes[call->addr[7] - '1'];
       HzbExchange *exchange;
       gpointer *pair;
-      if (!target->controller)
+      if (!target->controller || target->refuses_peers)
         {
           sim_answer (sim, call, 0, NULL);
           return;
--- /dev/null
+++ b/tests/test-election.c
@@ -0,0 +1,117 @@
+/* Leadership: what an answer of an earlier leadership may change. */
+#include "support.h"
+
+#include "election.h"
+#include "fake-transport.h"
+#include "store.h"
+
+typedef struct
+{
+  HzbSettings *settings;
+  HzbClock *clock;
+  FakeTransport transport;
+  HzbStore *store;
+  HzbElection *election;
+  GRand *rand;
+} Fixture;
+
+static void
+fixture_up (Fixture *fixture)
+{
+  fixture->settings = test_settings ();
+  fixture->clock = hzb_clock_new_manual ();
+  fixture->rand = g_rand_new_with_seed (1);
+  fake_transport_init (&fixture->transport, fixture->clock);
+  fixture->store = hzb_store_new (&fixture->transport.parent, fixture->clock, fixture->settings);
+  fixture->election = hzb_election_new (fixture->store, fixture->clock, fixture->settings, fixture->rand);
+}
+
+static void
+fixture_down (Fixture *fixture)
+{
+  g_queue_clear_full (&fixture->transport.calls, (GDestroyNotify) fake_call_free);
+  hzb_election_free (fixture->election);
+  hzb_store_free (fixture->store);
+  hzb_clock_free (fixture->clock);
+  hzb_settings_free (fixture->settings);
+  g_rand_free (fixture->rand);
+}
+
+static void
+tick_for (Fixture *fixture, double seconds)
+{
+  for (double at = 0; at < seconds; at += 0.05)
+    {
+      hzb_clock_advance (fixture->clock, 0.05);
+      hzb_store_pump (fixture->store);
+      hzb_election_tick (fixture->election, TRUE);
+    }
+}
+
+static FakeCall *
+find_call (Fixture *fixture, const char *path)
+{
+  for (GList *l = fixture->transport.calls.head; l; l = l->next)
+    if (g_str_equal (((FakeCall *) l->data)->path, path))
+      return l->data;
+  return NULL;
+}
+
+static void
+answer (Fixture *fixture, const char *path, guint status, const char *body)
+{
+  FakeCall *call = find_call (fixture, path);
+  g_assert_nonnull (call);
+  fake_answer (&fixture->transport, call, status, body);
+}
+
+static void
+apply (Fixture *fixture, const char *key, const char *value, guint64 version)
+{
+  HzbItem item = { (char *) key, value ? cJSON_Parse (value) : NULL, version };
+  hzb_election_apply_record (fixture->election, &item);
+  cJSON_Delete (item.value);
+}
+
+/* The lease has ended, the node leads again, and then comes the answer to a renewal of the lease before. */
+static void
+test_late_renewal (void)
+{
+  static const guint statuses[] = { 404, 200 };
+  for (guint i = 0; i < G_N_ELEMENTS (statuses); i++)
+    {
+      Fixture fixture;
+      fixture_up (&fixture);
+      tick_for (&fixture, 0.1);
+      answer (&fixture, "/leases", 200, "{\"permit\":7}");
+      answer (&fixture, "/multi", 200, "{\"epoch\":5}");
+      g_assert_true (hzb_election_leading (fixture.election));
+      apply (&fixture, HZB_KEY_TERM, "{\"term\":1,\"node\":\"n0\"}", 5);
+      apply (&fixture, HZB_KEY_LEADER, "{\"node\":\"n0\",\"incarnation\":\"x\",\"lease\":7,\"term\":1}", 5);
+      tick_for (&fixture, 1);
+      g_assert_nonnull (find_call (&fixture, "/leases/7/renew"));
+      apply (&fixture, HZB_KEY_LEADER, NULL, 6);
+      g_assert_false (hzb_election_leading (fixture.election));
+      tick_for (&fixture, 0.9);
+      answer (&fixture, "/leases", 200, "{\"permit\":8}");
+      answer (&fixture, "/multi", 200, "{\"epoch\":7}");
+      g_assert_true (hzb_election_leading (fixture.election));
+      tick_for (&fixture, 1);
+      g_assert_nonnull (find_call (&fixture, "/leases/8/renew"));
+      answer (&fixture, "/leases/7/renew", statuses[i], "{}");
+      g_assert_true (hzb_election_leading (fixture.election));
+      /* The renewal of this lease gets no answer: the leadership is valid for as long as the lease was, and no longer. */
+      hzb_clock_advance (fixture.clock, 3.05);
+      g_assert_false (hzb_election_lease_valid (fixture.election));
+      fixture_down (&fixture);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_log_set_always_fatal (G_LOG_LEVEL_ERROR);
+  g_test_add_func ("/election/late-renewal", test_late_renewal);
+  return g_test_run ();
+}
--- a/tests/test-leases.c
+++ b/tests/test-leases.c
@@ -202,6 +202,48 @@
   sim_free (sim);
 }
 
+/* A leader can't be asked for a while, and then answers slowly: the lessee has given its block up by then. It is not a lessee
+ * again by that answer, without all that it was sent before. */
+static void
+test_answer_after_giving_up (void)
+{
+  for (guint32 seed = 90; seed < 106; seed++)
+    {
+      Sim *sim = sim_new (seed);
+      int lessee = -1;
+      guint leader;
+      for (guint i = 0; i < 10; i++)
+        sim_add_job (sim, 1 + 0.2 * i, i % 2 ? "red" : "blue", 40, 1, 10)->type = "small";
+      while (lessee < 0 && sim->now < 40)
+        {
+          sim_run (sim, sim->now + 0.5);
+          for (guint i = 0; i < SIM_NODES; i++)
+            if (sim->nodes[i].controller->ownership == HZB_OWNERSHIP_LESSEE
+                && sim->nodes[i].controller->machines->all->len >= 1)
+              lessee = (int) i;
+        }
+      g_assert_cmpint (lessee, !=, -1);
+      leader = (guint) MAX (sim_leader (sim), 0);
+      sim_run (sim, sim->now + g_rand_double_range (sim->rand, 0, 2));
+      sim->nodes[lessee].peer_answer_delay_s = 1.35;
+      sim->nodes[leader].refuses_peers = TRUE;
+      sim_run (sim, sim->now + 3.6);
+      sim->nodes[leader].refuses_peers = FALSE;
+      sim_run (sim, sim->now + 4);
+      sim->nodes[lessee].peer_answer_delay_s = 0;
+      for (guint i = 0; i < sim->jobs->len; i++)
+        {
+          SimJob *job = sim->jobs->pdata[i];
+          job->wants_cancel = seed % 2 == 1;
+          job->cancel_at = sim->now;
+        }
+      sim->calm_at = sim->now + 10;
+      sim_run (sim, sim->now + 250);
+      expect_all_over (sim, "answer after giving up", seed);
+      sim_free (sim);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -213,5 +255,6 @@
   g_test_add_func ("/cluster/hand-over", test_hand_over);
   g_test_add_func ("/cluster/own-work", test_own_work);
   g_test_add_func ("/cluster/leases-and-failures", test_leases_and_failures);
+  g_test_add_func ("/cluster/answer-after-giving-up", test_answer_after_giving_up);
   return g_test_run ();
 }
--- a/tests/test-records.c
+++ b/tests/test-records.c
@@ -164,32 +164,35 @@
     }
 }
 
+/* A submission whose texts take 2,400 bytes in a record. */
+static char *
+long_submission (const char *uid)
+{
+  g_autoptr (GString) text = g_string_new (NULL);
+  for (guint i = 0; i < 200; i++)
+    g_string_append (text, "\\u0001"); /* one byte each, six in a record */
+  return g_strdup_printf (
+      "{\"uid\":\"%s\",\"lane\":\"%s\",\"owner\":\"red\",\"shape\":\"sweep\",\"urgency\":\"normal\","
+      "\"pieces\":2,\"cpus\":1,\"gpus\":0,\"ramGb\":1,\"bundle\":\"%s\",\"sizeGb\":0.5,\"samePlace\":false,"
+      "\"spread\":false,\"loaners\":true,\"expectS\":5,\"snapshotEveryS\":0,\"snapshotS\":0}",
+      uid, text->str, text->str);
+}
+
 /* A job was accepted when values could be larger, has ended and has moved away: its repeated submission gets its state, and
  * the same texts in a new job are refused. */
 static void
 test_repeat_with_long_texts (void)
 {
   Sim *sim = sim_new (70);
-  GString *text = g_string_new (NULL);
-  g_autofree char *body = NULL, *other = NULL;
-  for (guint i = 0; i < 200; i++)
-    g_string_append (text, "\\u0001"); /* one byte each, six in a record */
-  body = g_strdup_printf (
-      "{\"uid\":\"run-700001\",\"lane\":\"%s\",\"owner\":\"red\",\"shape\":\"sweep\",\"urgency\":\"normal\","
-      "\"pieces\":2,\"cpus\":1,\"gpus\":0,\"ramGb\":1,\"bundle\":\"%s\",\"sizeGb\":0.5,\"samePlace\":false,"
-      "\"spread\":false,\"loaners\":true,\"expectS\":5,\"snapshotEveryS\":0,\"snapshotS\":0}",
-      text->str, text->str);
-  other = g_strdup (body);
-  memcpy (strstr (other, "run-700001"), "run-700002", strlen ("run-700002"));
+  g_autofree char *known = long_submission ("run-700001"), *other = long_submission ("run-700002");
   sim_put_record (sim, HZB_KEY_ENDED "run-700001", "{\"state\":\"done\",\"n\":2}");
   sim_run (sim, 5);
   for (guint i = 0; i < SIM_NODES; i++)
     {
-      g_assert_cmpuint (ask (sim, i, "POST", "/api/jobs", body, NULL), ==, 200);
+      g_assert_cmpuint (ask (sim, i, "POST", "/api/jobs", known, NULL), ==, 200);
       g_assert_nonnull (strstr (last_body, "done"));
       g_assert_cmpuint (ask (sim, i, "POST", "/api/jobs", other, NULL), ==, 400);
     }
-  g_string_free (text, TRUE);
   sim_free (sim);
 }
 
