--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -451,11 +451,12 @@
 {
   if (!hzb_machine_usable (machine))
     return;
-  /* Places held for gangs come first: they were counted as taken when they were booked. */
+  /* Places held for gangs come first: they were counted as taken when they were booked. Guards against one that was
+   * cancelled since, and whose places the owner has not given up yet. */
   for (guint i = 0; i < machine->tasks->len; i++)
     {
       HzbTask *task = machine->tasks->pdata[i];
-      if (task->state == HZB_TASK_BOOKED)
+      if (task->state == HZB_TASK_BOOKED && task->job->state == HZB_JOB_ACCEPTED)
         {
           start (dispatch, task, machine, commands);
           i = G_MAXUINT; /* the array was changed */
--- a/tests/test-dispatch.c
+++ b/tests/test-dispatch.c
@@ -402,6 +402,27 @@
   bench_down (&b);
 }
 
+/* A gang has its places and is cancelled before its machines report: none of it starts. */
+static void
+test_cancelled_gang (void)
+{
+  Bench b;
+  HzbJob *job;
+  g_autoptr (GArray) commands = g_array_new (FALSE, FALSE, sizeof (HzbCommand));
+  bench_up (&b, 3);
+  bench_machine (&b, "small", "za", FALSE);
+  bench_machine (&b, "small", "zb", FALSE);
+  job = bench_job (&b, "red", HZB_PRIORITY_NORMAL, 4, 2, 10);
+  job->spec->gang = TRUE;
+  hzb_dispatch_run (b.dispatch, hzb_clock_now (b.clock));
+  g_assert_cmpuint (job->placed, ==, 4);
+  job->state = HZB_JOB_CANCELLED;
+  for (guint i = 0; i < b.machines->all->len; i++)
+    hzb_dispatch_start_tasks (b.dispatch, b.machines->all->pdata[i], hzb_clock_now (b.clock), commands);
+  g_assert_cmpuint (count_orders (commands, HZB_COMMAND_START), ==, 0);
+  bench_down (&b);
+}
+
 static void
 test_rentals (void)
 {
@@ -514,6 +535,7 @@
   g_test_add_func ("/dispatch/replica-stays", test_replica_stays);
   g_test_add_func ("/dispatch/preemption", test_preemption);
   g_test_add_func ("/dispatch/gang", test_gang);
+  g_test_add_func ("/dispatch/cancelled-gang", test_cancelled_gang);
   g_test_add_func ("/fleet/rentals", test_rentals);
   g_test_add_func ("/fleet/rentals-for-little", test_rentals_for_little);
   g_test_add_func ("/fleet/leaving", test_leaving);
