--- a/tests/sim-faults.c
+++ b/tests/sim-faults.c
@@ -272,3 +272,14 @@
   expect_no_fault (sim, "a large fleet at work", seed);
   return sim;
 }
+
+void
+cancel_all (Sim *sim)
+{
+  for (guint i = 0; i < sim->jobs->len; i++)
+    {
+      SimJob *job = sim->jobs->pdata[i];
+      job->wants_cancel = TRUE;
+      job->cancel_at = sim->now;
+    }
+}
--- a/tests/sim-faults.h
+++ b/tests/sim-faults.h
@@ -30,3 +30,4 @@
 void many_jobs (Sim *sim, guint n, double over_s, double run_s);
 /* So many machines of sim_size_large, at work for some 15 s. */
 Sim *large_fleet (guint32 seed, guint machines, guint jobs, double run_s);
+void cancel_all (Sim *sim); /* every user wants to cancel from now on */
--- a/tests/test-combined-faults.c
+++ b/tests/test-combined-faults.c
@@ -171,13 +171,6 @@
         }
 }
 
-static void
-cancel_all (Sim *sim)
-{
-  for (guint i = 0; i < sim->jobs->len; i++)
-    ((SimJob *) sim->jobs->pdata[i])->wants_cancel = TRUE;
-}
-
 /* A lessee that the state service refuses does not see the cancellation: nobody is told before the leader has told it,
  * and so nothing starts afterwards. */
 static void
--- a/tests/test-forgotten.c
+++ b/tests/test-forgotten.c
@@ -107,11 +107,7 @@
       leader = (guint) MAX (sim_leader (sim), 0);
       sim_crash (sim, leader);
       sim_start (sim, leader);
-      for (guint i = 0; i < sim->jobs->len; i++)
-        {
-          ((SimJob *) sim->jobs->pdata[i])->wants_cancel = TRUE;
-          ((SimJob *) sim->jobs->pdata[i])->cancel_at = sim->now;
-        }
+      cancel_all (sim);
       while (!a_leader_loads (sim) && sim->now < 40)
         sim_run (sim, sim->now + 0.001);
       g_assert_true (a_leader_loads (sim));
@@ -145,11 +141,7 @@
       sim_run (sim, 25);
       for (guint i = 0; i < sim->machines->len; i++)
         ((SimMachine *) sim->machines->pdata[i])->cut = TRUE;
-      for (guint i = 0; i < sim->jobs->len; i++)
-        {
-          ((SimJob *) sim->jobs->pdata[i])->wants_cancel = TRUE;
-          ((SimJob *) sim->jobs->pdata[i])->cancel_at = sim->now;
-        }
+      cancel_all (sim);
       sim_crash (sim, (guint) MAX (sim_leader (sim), 0));
       while (sim_leader (sim) < 0 && sim->now < 40)
         sim_run (sim, sim->now + 0.1);
--- a/tests/test-mirror.c
+++ b/tests/test-mirror.c
@@ -276,6 +276,21 @@
                (guint) fixture->model.versions[key]);
 }
 
+#define SOON_TURNS 200u /* 10 s */
+
+/* Once every call is answered at once, the mirror shows what there is. */
+static void
+expect_same_soon (Fixture *fixture, guint32 seed)
+{
+  for (guint i = 0; i < SOON_TURNS; i++)
+    {
+      answer_all (fixture);
+      tick (fixture);
+    }
+  answer_all (fixture);
+  expect_same (fixture, seed);
+}
+
 /* ---- at random ---- */
 
 typedef struct
@@ -382,13 +397,7 @@
       fixture_up (&fixture, seed, seed % 3 ? 200 : 25);
       for (guint i = 0; i < 3000; i++)
         random_step (&fixture, seed);
-      for (guint i = 0; i < 200; i++)
-        {
-          answer_all (&fixture);
-          tick (&fixture);
-        }
-      answer_all (&fixture);
-      expect_same (&fixture, seed);
+      expect_same_soon (&fixture, seed);
       fixture_down (&fixture);
     }
 }
@@ -421,13 +430,7 @@
   model_change (&fixture.model, 3, TRUE);
   tick (&fixture);
   deliver (&fixture, 0);
-  for (guint i = 0; i < 100; i++)
-    {
-      answer_all (&fixture);
-      tick (&fixture);
-    }
-  answer_all (&fixture);
-  expect_same (&fixture, 1);
+  expect_same_soon (&fixture, 1);
   fixture_down (&fixture);
 }
 
@@ -474,13 +477,7 @@
         model_change (&fixture.model, (guint) g_rand_int_range (fixture.rand, 0, KEYS), FALSE);
       tick (&fixture);
     }
-  for (guint i = 0; i < 50; i++)
-    {
-      answer_all (&fixture);
-      tick (&fixture);
-    }
-  answer_all (&fixture);
-  expect_same (&fixture, 1);
+  expect_same_soon (&fixture, 1);
   g_assert_cmpuint (fixture.lost, ==, 0);
   fixture_down (&fixture);
 }
@@ -508,13 +505,7 @@
   carry_out (&fixture, call);
   deliver (&fixture, 0);
   g_assert_cmpuint (fixture.lost, ==, 1);
-  for (guint i = 0; i < 200; i++)
-    {
-      answer_all (&fixture);
-      tick (&fixture);
-    }
-  answer_all (&fixture);
-  expect_same (&fixture, 1);
+  expect_same_soon (&fixture, 1);
   fixture_down (&fixture);
 }
 
@@ -544,13 +535,7 @@
       tick (&fixture);
     }
   g_assert_cmpuint (fixture.load, ==, 2);
-  for (guint i = 0; i < 100; i++)
-    {
-      answer_all (&fixture);
-      tick (&fixture);
-    }
-  answer_all (&fixture);
-  expect_same (&fixture, 1);
+  expect_same_soon (&fixture, 1);
   fixture_down (&fixture);
 }
 
