--- a/tests/fake-transport.h
+++ b/tests/fake-transport.h
@@ -2,6 +2,9 @@
 #pragma once
 #include "clock.h"
 #include "http.h"
+#include "store.h"
+
+#define LONGER_THAN_ANY_CALL_S 60.0
 
 typedef struct
 {
@@ -60,3 +63,16 @@
   call->done (status, body, strlen (body), call->user);
   fake_call_free (call);
 }
+
+/* Ends what is on its way and what waits to be sent, so that whoever called is told and lets go of what it keeps. */
+static inline void
+fake_transport_end (FakeTransport *fake, HzbStore *store)
+{
+  FakeCall *call;
+  while ((call = g_queue_peek_head (&fake->calls)))
+    fake_answer (fake, call, 0, "");
+  hzb_clock_advance (fake->clock, LONGER_THAN_ANY_CALL_S);
+  hzb_store_pump (store);
+  while ((call = g_queue_peek_head (&fake->calls)))
+    fake_answer (fake, call, 0, "");
+}
--- a/tests/test-election.c
+++ b/tests/test-election.c
@@ -29,7 +29,7 @@
 static void
 fixture_down (Fixture *fixture)
 {
-  g_queue_clear_full (&fixture->transport.calls, (GDestroyNotify) fake_call_free);
+  fake_transport_end (&fixture->transport, fixture->store);
   hzb_election_free (fixture->election);
   hzb_store_free (fixture->store);
   hzb_clock_free (fixture->clock);
--- a/tests/test-mirror.c
+++ b/tests/test-mirror.c
@@ -180,7 +180,7 @@
   for (guint i = 0; i < fixture->replies->len; i++)
     reply_free (fixture->replies->pdata[i]);
   g_ptr_array_unref (fixture->replies);
-  g_queue_clear_full (&fixture->transport.calls, (GDestroyNotify) fake_call_free);
+  fake_transport_end (&fixture->transport, fixture->store);
   hzb_mirror_free (fixture->mirror);
   hzb_store_free (fixture->store);
   hzb_clock_free (fixture->clock);
--- a/tests/test-store.c
+++ b/tests/test-store.c
@@ -30,7 +30,7 @@
 static void
 fixture_down (Fixture *fixture)
 {
-  g_queue_clear_full (&fixture->transport.calls, (GDestroyNotify) fake_call_free);
+  fake_transport_end (&fixture->transport, fixture->store);
   hzb_store_free (fixture->store);
   hzb_clock_free (fixture->clock);
   hzb_settings_free (fixture->settings);
