--- /dev/null
+++ b/src/heartbeat.h
@@ -0,0 +1,44 @@
+/**
+ * SECTION: heartbeat
+ * @short_description: what two controllers tell each other once a second, and its encoding
+ *
+ * The one place that knows how a heartbeat is written. Fields that a version does not know are ignored, and those that an
+ * older version does not send have the defaults named here.
+ */
+#pragma once
+#include <cjson/cJSON.h>
+#include <glib.h>
+
+/** HzbTaskCounts: how many tasks of a job have finished and run, for display. */
+typedef struct
+{
+  char *uid;
+  guint done, running;
+} HzbTaskCounts;
+
+/** HzbHeartbeat: */
+typedef struct
+{
+  gboolean leads;
+  guint64 term;           /* the highest that the sender knows */
+  guint format;           /* of records and messages; 1: a version that states none */
+  gboolean sends_workers; /* it lately redirected workers to the leader; TRUE for a version that does not say */
+  gboolean lost_workers;  /* it stepped down since no worker reported to it, not long ago */
+  double store_silence_s; /* since the state service last served it */
+  guint64 mirrored;       /* its mirror has all changes up to this revision; 0: a version that does not say */
+  GArray *counts;         /* HzbTaskCounts, of the leader's unfinished jobs; may be empty */
+} HzbHeartbeat;
+
+/** hzb_heartbeat_new: Returns: (transfer full): one that says nothing yet */
+HzbHeartbeat *hzb_heartbeat_new (void);
+void hzb_heartbeat_free (HzbHeartbeat *heartbeat);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (HzbHeartbeat, hzb_heartbeat_free)
+
+/** hzb_heartbeat_add_counts: counts of one more job. */
+void hzb_heartbeat_add_counts (HzbHeartbeat *heartbeat, const char *uid, guint done, guint running);
+
+/** hzb_heartbeat_encode: adds the heartbeat's fields to a message. */
+void hzb_heartbeat_encode (const HzbHeartbeat *heartbeat, cJSON *message);
+
+/** hzb_heartbeat_decode: Returns: (transfer full): what the message says; what it lacks, or says wrongly, has its default */
+HzbHeartbeat *hzb_heartbeat_decode (const cJSON *message);
--- a/src/peers.c
+++ b/src/peers.c
@@ -3,11 +3,13 @@
  * Copies of old messages may come late, also from a process that has ended since. So each says which process sent it,
  * when that began, and counts: what is not the newest of its kind is refused, whoever it is from. */
 #include "controller.h"
+#include "heartbeat.h"
 
 #include <string.h>
 
 #define MOST_RETIRED 64u
 #define MOST_SHOWN 1000u /* jobs whose counts go with a heartbeat: some 35 bytes each */
+#define HEARTBEAT_TIMEOUT_MS 1500u
 #define REDIRECTS_S 3.0
 #define LOST_WORKERS_S 120.0
 #define BORN_SLACK_MS 1000u /* times of day differ a little */
@@ -260,59 +262,69 @@
 
 /* ---- heartbeats ---- */
 
+/* What a leader says of its jobs; others say nothing. */
 static void
-pack_heartbeat (HzbPeers *peers, cJSON *root)
+add_counts (HzbPeers *peers, HzbHeartbeat *heartbeat)
+{
+  const HzbController *controller = peers->controller;
+  for (guint i = 0; i < MIN (controller->jobs->active->len, MOST_SHOWN); i++)
+    {
+      const HzbJob *job = controller->jobs->active->pdata[i];
+      guint done = job->done + job->finished, running = job->running + job->delegated_running;
+      if (done || running)
+        hzb_heartbeat_add_counts (heartbeat, job->uid, done, running);
+    }
+}
+
+/* What this controller has to say now. */
+static HzbHeartbeat *
+heartbeat_of_now (HzbPeers *peers)
 {
   HzbController *controller = peers->controller;
+  struct timespec now = hzb_clock_now (controller->clock);
+  HzbHeartbeat *heartbeat = hzb_heartbeat_new ();
 
-  cJSON_AddBoolToObject (root, "leads", hzb_election_leading (controller->election));
+  heartbeat->format = controller->format;
+  heartbeat->leads = hzb_election_leading (controller->election);
   /* Also what others told: an owner may reach only nodes that the state service does not reach either. */
-  hzb_json_add_u64 (root, "term", MAX (hzb_election_leader_term (controller->election), peers->highest_known_term));
-  cJSON_AddBoolToObject (root, "sendsWorkers",
-                         hzb_time_is_set (controller->redirected)
-                             && hzb_time_between (controller->redirected, hzb_clock_now (controller->clock))
-                                    < REDIRECTS_S);
-  cJSON_AddBoolToObject (root, "lostWorkers", lost_workers (controller));
-  cJSON_AddNumberToObject (root, "storeSilenceS", MIN (hzb_store_silence (controller->store), 1e6));
-  hzb_json_add_u64 (root, "mirrored", hzb_mirror_revision (controller->mirror));
+  heartbeat->term = MAX (hzb_election_leader_term (controller->election), peers->highest_known_term);
+  heartbeat->sends_workers =
+      hzb_time_is_set (controller->redirected) && hzb_time_between (controller->redirected, now) < REDIRECTS_S;
+  heartbeat->lost_workers = lost_workers (controller);
+  heartbeat->store_silence_s = hzb_store_silence (controller->store);
+  heartbeat->mirrored = hzb_mirror_revision (controller->mirror);
   if (controller->ownership >= HZB_OWNERSHIP_RECOVERING)
+    add_counts (peers, heartbeat);
+  return heartbeat;
+}
+
+static void
+take_counts (HzbPeers *peers, const HzbHeartbeat *heartbeat)
+{
+  g_hash_table_remove_all (peers->display);
+  for (guint i = 0; i < heartbeat->counts->len; i++)
     {
-      cJSON *list = cJSON_AddObjectToObject (root, "jobs");
-      for (guint i = 0; i < MIN (controller->jobs->active->len, MOST_SHOWN); i++)
-        {
-          const HzbJob *job = controller->jobs->active->pdata[i];
-          int counts[2] = { (int) (job->done + job->finished), (int) (job->running + job->delegated_running) };
-          if (counts[0] || counts[1])
-            cJSON_AddItemToObject (list, job->uid, cJSON_CreateIntArray (counts, 2));
-        }
+      const HzbTaskCounts *counts = &g_array_index (heartbeat->counts, HzbTaskCounts, i);
+      g_hash_table_insert (peers->display, g_strdup (counts->uid),
+                           GSIZE_TO_POINTER (((gsize) counts->done << 24) | (gsize) counts->running));
     }
 }
 
 static void
-apply_heartbeat (HzbPeers *peers, View *view, const cJSON *root)
+apply_heartbeat (HzbPeers *peers, View *view, const HzbHeartbeat *heartbeat)
 {
   HzbController *controller = peers->controller;
-  const cJSON *item;
+
   view->last_report = hzb_clock_now (controller->clock);
-  view->store_silence = hzb_json_number (root, "storeSilenceS", 1e6);
-  view->term = hzb_json_u64 (root, "term");
-  view->sends_workers =
-      !cJSON_IsFalse (cJSON_GetObjectItemCaseSensitive (root, "sendsWorkers")); /* version 1 doesn't say */
-  view->lost_workers = cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (root, "lostWorkers"));
-  view->format = (guint) hzb_json_number (root, "format", 1);
-  view->mirrored_revision = MAX (view->mirrored_revision, hzb_json_u64 (root, "mirrored"));
-  view->leads = cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (root, "leads"));
+  view->store_silence = heartbeat->store_silence_s;
+  view->term = heartbeat->term;
+  view->sends_workers = heartbeat->sends_workers;
+  view->lost_workers = heartbeat->lost_workers;
+  view->format = heartbeat->format;
+  view->mirrored_revision = MAX (view->mirrored_revision, heartbeat->mirrored);
+  view->leads = heartbeat->leads;
   if (view->leads)
-    {
-      g_hash_table_remove_all (peers->display);
-      cJSON_ArrayForEach (item, cJSON_GetObjectItemCaseSensitive (root, "jobs"))
-        {
-          const cJSON *done = cJSON_GetArrayItem (item, 0), *running = cJSON_GetArrayItem (item, 1);
-          if (done && running)
-            g_hash_table_insert (peers->display, g_strdup (item->string),
-                                 GSIZE_TO_POINTER (((gsize) done->valueint << 24) | (gsize) running->valueint));
-        }
-    }
+    take_counts (peers, heartbeat);
   peers->highest_known_term = MAX (peers->highest_known_term, view->term);
   /* A owner that the state service does not reach learns here that it has been replaced. */
   if (view->term > hzb_election_term (controller->election))
@@ -334,7 +346,27 @@
 
   view->asking = FALSE;
   if (root)
-    apply_heartbeat (call->peers, view, root);
+    {
+      g_autoptr (HzbHeartbeat) heartbeat = hzb_heartbeat_decode (root);
+      apply_heartbeat (call->peers, view, heartbeat);
+    }
+  cJSON_Delete (root);
+}
+
+static void
+send_heartbeat (HzbPeers *peers, guint at)
+{
+  View *view = &g_array_index (peers->views, View, at);
+  g_autoptr (HzbHeartbeat) heartbeat = heartbeat_of_now (peers);
+  Call *call = g_new0 (Call, 1);
+  cJSON *root = hzb_peers_message (peers, HZB_PEER_HEARTBEAT);
+
+  view->asking = TRUE;
+  call->peers = peers;
+  call->at = at;
+  hzb_heartbeat_encode (heartbeat, root);
+  hzb_send (peers->controller->transport, "POST", view->peer->address, "/peer/v1/word", cJSON_PrintUnformatted (root),
+            HEARTBEAT_TIMEOUT_MS, on_heartbeat, call);
   cJSON_Delete (root);
 }
 
@@ -346,24 +378,25 @@
   peers->next = hzb_time_plus (now, 1);
   for (guint i = 0; i < peers->views->len; i++)
     {
-      View *view = &g_array_index (peers->views, View, i);
-      Call *call;
-      cJSON *root;
+      const View *view = &g_array_index (peers->views, View, i);
       /* Whoever asks tells as much as the answer does: one of the two is enough. */
       if (view->asking || silence (peers, view) < 0.9)
         continue;
-      view->asking = TRUE;
-      call = g_new0 (Call, 1);
-      call->peers = peers;
-      call->at = i;
-      root = hzb_peers_message (peers, HZB_PEER_HEARTBEAT);
-      pack_heartbeat (peers, root);
-      hzb_send (peers->controller->transport, "POST", view->peer->address, "/peer/v1/word",
-                cJSON_PrintUnformatted (root), 1500, on_heartbeat, call);
-      cJSON_Delete (root);
+      send_heartbeat (peers, i);
     }
 }
 
+static void
+reply_heartbeat (HzbPeers *peers, HzbExchange *exchange)
+{
+  g_autoptr (HzbHeartbeat) heartbeat = heartbeat_of_now (peers);
+  cJSON *reply = cJSON_CreateObject ();
+
+  hzb_heartbeat_encode (heartbeat, reply);
+  hzb_exchange_reply (exchange, 200, cJSON_PrintUnformatted (reply), 0);
+  cJSON_Delete (reply);
+}
+
 void
 hzb_controller_peer_request (HzbExchange *exchange, gpointer data)
 {
@@ -378,12 +411,9 @@
     hzb_leases_request (controller->leases, exchange, root);
   else
     {
-      cJSON *heartbeat = cJSON_CreateObject ();
-      cJSON_AddNumberToObject (heartbeat, "format", controller->format);
-      apply_heartbeat (controller->peers, view, root);
-      pack_heartbeat (controller->peers, heartbeat);
-      hzb_exchange_reply (exchange, 200, cJSON_PrintUnformatted (heartbeat), 0);
-      cJSON_Delete (heartbeat);
+      g_autoptr (HzbHeartbeat) theirs = hzb_heartbeat_decode (root);
+      apply_heartbeat (controller->peers, view, theirs);
+      reply_heartbeat (controller->peers, exchange);
     }
   cJSON_Delete (root);
 }
