No number of jobs is too large for a message between controllers

Need: with 4,000 machines more jobs run at once than 500 counts in a poll or 1,000 in a heartbeat, and more tasks go back at once than a message holds; 160 tasks or events a poll would bound what a block starts.

Change: counts of more jobs than fit are told in turn, a part with each message; tasks that go back are split over messages; a message is bounded by its bytes only.

--- a/src/block-leases.c
+++ b/src/block-leases.c
@@ -18,11 +18,12 @@
 
 #include <string.h>
 
-#define LEASE_S 10.0 /* as the design page starts with */
-#define MISSED_S 4.0 /* the leader takes a block back when its lessee has not polled for so long */
-#define STEADY_S 3.0 /* and leases to it again once it has asked for so long */
-#define MOST_PER_ANSWER 160u
-#define UNLEVEL 0.7            /* a block this much smaller than the leader's gets machines that work */
+#define LEASE_S 10.0          /* as the design page starts with */
+#define MISSED_S 4.0          /* the leader takes a block back when its lessee has not polled for so long */
+#define STEADY_S 3.0          /* and leases to it again once it has asked for so long */
+#define MOST_PER_ANSWER 640u  /* tasks: what thousands of machines start between two polls */
+#define MOST_HANDED_OVER 400u /* tasks on a machine that changes hands: they have to fit a message when it comes back */
+#define UNLEVEL 0.7           /* a block this much smaller than the leader's gets machines that work */
 #define HAND_OVER_EVERY_S 0.25 /* each costs its machine a second or so; of a large fleet more often: */
 #define HAND_OVER_ALL_S 10.0   /* as many machines as there are in so long */
 #define COUNT_EVERY_S 0.2
@@ -122,35 +123,56 @@
   return machine->lessee ? lessee_of (leases, machine->lessee)->peer->node : NULL;
 }
 
-/* What a lessee says of its tasks, by job, beside what the others say: a member of the job has the sum. */
+/* A job's count of this lessee is no more part of the sum. */
 static void
-set_counts (HzbLeases *leases, GHashTable *counts, glong member, const cJSON *said)
+subtract_count (HzbLeases *leases, glong member, const char *uid, guint count)
+{
+  HzbJob *job = hzb_jobs_find (leases->controller->jobs, uid);
+  if (job && G_STRUCT_MEMBER (guint, job, member) >= count)
+    G_STRUCT_MEMBER (guint, job, member) -= count;
+}
+
+static void
+clear_counts (HzbLeases *leases, GHashTable *counts, glong member)
 {
   GHashTableIter iter;
   gpointer uid, count;
-  const cJSON *item;
-  HzbJob *job;
 
   g_hash_table_iter_init (&iter, counts);
   while (g_hash_table_iter_next (&iter, &uid, &count))
-    if ((job = hzb_jobs_find (leases->controller->jobs, uid))
-        && G_STRUCT_MEMBER (guint, job, member) >= GPOINTER_TO_UINT (count))
-      G_STRUCT_MEMBER (guint, job, member) -= GPOINTER_TO_UINT (count);
+    subtract_count (leases, member, uid, GPOINTER_TO_UINT (count));
   g_hash_table_remove_all (counts);
+}
+
+/* What a lessee says of its tasks, by job, beside what the others say: a member of the job has the sum. What a partial message
+ * does not name stays as it was. */
+static void
+set_counts (HzbLeases *leases, GHashTable *counts, glong member, const cJSON *said, gboolean partial)
+{
+  const cJSON *item;
+
+  if (!partial)
+    clear_counts (leases, counts, member);
   cJSON_ArrayForEach (item, said)
-    if (cJSON_IsNumber (item) && item->valueint > 0 && (job = hzb_jobs_find (leases->controller->jobs, item->string))
-        && job->tasks)
-      {
-        G_STRUCT_MEMBER (guint, job, member) += (guint) item->valueint;
-        g_hash_table_insert (counts, g_strdup (item->string), GUINT_TO_POINTER ((guint) item->valueint));
-      }
+    {
+      HzbJob *job = hzb_jobs_find (leases->controller->jobs, item->string);
+      if (!cJSON_IsNumber (item) || item->valueint < 0 || !job || !job->tasks)
+        continue;
+      subtract_count (leases, member, item->string, GPOINTER_TO_UINT (g_hash_table_lookup (counts, item->string)));
+      G_STRUCT_MEMBER (guint, job, member) += (guint) item->valueint;
+      g_hash_table_insert (counts, g_strdup (item->string), GUINT_TO_POINTER ((guint) item->valueint));
+    }
 }
 
+/* poll: NULL, nothing of it runs or leaves any more. */
 static void
-set_running (HzbLeases *leases, Lessee *lessee, const cJSON *running, const cJSON *leaving)
+set_running (HzbLeases *leases, Lessee *lessee, const cJSON *poll)
 {
-  set_counts (leases, lessee->running, G_STRUCT_OFFSET (HzbJob, delegated_running), running);
-  set_counts (leases, lessee->leaving, G_STRUCT_OFFSET (HzbJob, delegated_leaving), leaving);
+  gboolean partial = cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (poll, "partial"));
+  set_counts (leases, lessee->running, G_STRUCT_OFFSET (HzbJob, delegated_running),
+              cJSON_GetObjectItemCaseSensitive (poll, "running"), partial);
+  set_counts (leases, lessee->leaving, G_STRUCT_OFFSET (HzbJob, delegated_leaving),
+              cJSON_GetObjectItemCaseSensitive (poll, "leaving"), partial);
 }
 
 static void
@@ -179,7 +201,7 @@
             tasks++;
           }
     }
-  set_running (leases, lessee, NULL, NULL);
+  set_running (leases, lessee, NULL);
   g_message ("block of %s is taken back with %u machines and %u tasks: %s", lessee->peer->node, machines, tasks, why);
   hzb_outbox_clear (&lessee->out);
   lessee->token = lessee->in_number = lessee->acknowledged = 0;
@@ -335,8 +357,9 @@
 
   /* Nothing waits for the takeover to be over: this machine has just shown all that is on it. */
   if (controller->dispatch->lag_s < LATE_S || hzb_time_before (now, leases->next_hand_over)
-      || machine->state != HZB_MACHINE_ACTIVE || !machine->verified || !machine->recorded || machine->ignored_answers
-      || !may_lease (controller, machine) || !hzb_election_lease_valid (controller->election))
+      || machine->tasks->len > MOST_HANDED_OVER || machine->state != HZB_MACHINE_ACTIVE || !machine->verified
+      || !machine->recorded || machine->ignored_answers || !may_lease (controller, machine)
+      || !hzb_election_lease_valid (controller->election))
     return NULL;
   for (guint i = 0; i < machine->tasks->len; i++)
     {
@@ -753,8 +776,7 @@
                 lessee->in_number++;
                 handle_event (leases, lessee, event);
               }
-          set_running (leases, lessee, cJSON_GetObjectItemCaseSensitive (root, "running"),
-                       cJSON_GetObjectItemCaseSensitive (root, "leaving"));
+          set_running (leases, lessee, root);
           recall_for_service (leases, lessee);
           recall_machines (leases, lessee, gang_waits (controller) || !controller->lease_blocks);
           /* Only once it has all that was sent before, or its room would be filled twice. */
--- a/src/heartbeat.c
+++ b/src/heartbeat.c
@@ -132,6 +132,8 @@
   encode_known_marks (heartbeat, message);
   if (heartbeat->counts->len)
     encode_counts (heartbeat, message);
+  if (heartbeat->partial_counts)
+    cJSON_AddTrueToObject (message, "partial");
   if (heartbeat->cancellations_up_to)
     encode_cancellations (heartbeat, message);
 }
@@ -214,6 +216,7 @@
   decode_peer_states (heartbeat, cJSON_GetObjectItemCaseSensitive (message, "about"));
   decode_known_marks (heartbeat, message);
   decode_cancellations (heartbeat, message);
+  heartbeat->partial_counts = cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (message, "partial"));
   decode_counts (heartbeat, cJSON_GetObjectItemCaseSensitive (message, "jobs"));
   return heartbeat;
 }
--- a/src/heartbeat.h
+++ b/src/heartbeat.h
@@ -49,7 +49,8 @@
   gboolean tells_cancellations; /* its replies name what the receiver lacks; FALSE: a version that does not */
   /* It answers no worker once it could have missed a cancellation, see cancellations.h. */
   gboolean withholds_answers;
-  GArray *counts; /* HzbTaskCounts, of the leader's unfinished jobs; may be empty */
+  gboolean partial_counts; /* of some of the jobs only: of the others other heartbeats tell */
+  GArray *counts;          /* HzbTaskCounts, of the leader's unfinished jobs; may be empty */
 
   GArray *peer_states;       /* HzbPeerState, of the other controllers */
   GArray *known_marks;       /* HzbKnownMark, rising */
--- a/src/lessee.c
+++ b/src/lessee.c
@@ -15,9 +15,10 @@
 /* Guards against a poll that is larger than a request may be: it would be refused each time, nothing in it acknowledged,
  * and the whole block lost, when hundreds of machines fall silent together. With what else goes along, below 64 KiB. */
 #define MAX_EVENT_BYTES (36 * 1024)
-#define MAX_RUNNING_COUNTS 500u /* jobs, up to 25 bytes each; the counts are for display */
-#define MAX_LEAVING_COUNTS 250u
-#define MAINTAIN_EVERY_S 0.5 /* tasks that may have to go back are looked for so often */
+/* Jobs whose counts go with a poll, up to 25 bytes each in two lists. Of more the next polls tell, in turn. */
+#define COUNTS_PER_POLL 350u
+#define RETURNED_PER_EVENT 800u /* tasks, up to 30 bytes each */
+#define MAINTAIN_EVERY_S 0.5    /* tasks that may have to go back are looked for so often */
 
 struct _HzbLessee
 {
@@ -26,6 +27,7 @@
   guint64 asked_epoch; /* the ownership in which the poll on its way was sent */
   guint64 token, in_number;
   HzbOutbox out;
+  guint next_counted; /* of the jobs whose counts are told in turn */
   struct timespec requests, next_ask, next_maintenance, last_answer, valid_until;
 };
 
@@ -311,47 +313,50 @@
   return free + PREFETCH_PART * all - listed;
 }
 
-/* How many tasks of each job are on machines that the leader asked back. */
-static cJSON *
-pack_leaving (HzbController *controller)
+/* How many tasks of each job are on machines that the leader asked back. Returns: (transfer full): HzbJob -> count */
+static GHashTable *
+count_leaving (const HzbController *controller)
 {
-  g_autoptr (GHashTable) counts = g_hash_table_new (NULL, NULL); /* HzbJob -> count */
-  cJSON *leaving = cJSON_CreateObject ();
-  GHashTableIter iter;
-  gpointer job, count;
+  GHashTable *counts = g_hash_table_new (NULL, NULL);
 
   for (guint i = 0; i < controller->machines->all->len; i++)
     {
       const HzbMachine *machine = controller->machines->all->pdata[i];
       for (guint k = 0; machine->recall_requested && k < machine->tasks->len; k++)
         {
-          job = ((HzbTask *) machine->tasks->pdata[k])->job;
-          g_hash_table_insert (counts, job,
-                               GUINT_TO_POINTER (GPOINTER_TO_UINT (g_hash_table_lookup (counts, job)) + 1));
+          HzbJob *job = ((HzbTask *) machine->tasks->pdata[k])->job;
+          guint count = GPOINTER_TO_UINT (g_hash_table_lookup (counts, job));
+          g_hash_table_insert (counts, job, GUINT_TO_POINTER (count + 1));
         }
     }
-  g_hash_table_iter_init (&iter, counts);
-  for (guint n = 0; n < MAX_LEAVING_COUNTS && g_hash_table_iter_next (&iter, &job, &count); n++)
-    cJSON_AddNumberToObject (leaving, ((HzbJob *) job)->uid, GPOINTER_TO_UINT (count));
-  return leaving;
+  return counts;
 }
 
-/* How many tasks of each job run in the block. */
-static cJSON *
-pack_running (HzbController *controller)
+/* How many tasks of each job run in the block, and are about to leave it. All jobs if they fit; of more some with each poll,
+ * in turn, and then those of which nothing runs are named too, since what is not named stays as it was. */
+static void
+pack_counts (HzbLessee *lessee, cJSON *message)
 {
-  cJSON *running = cJSON_CreateObject ();
-  guint n = 0;
-
-  for (guint i = 0; i < controller->jobs->active->len && n < MAX_RUNNING_COUNTS; i++)
+  const HzbController *controller = lessee->controller;
+  const GPtrArray *jobs = controller->jobs->active;
+  g_autoptr (GHashTable) leaving_counts = count_leaving (controller);
+  cJSON *leaving = cJSON_AddObjectToObject (message, "leaving"),
+        *running = cJSON_AddObjectToObject (message, "running");
+  gboolean partial = jobs->len > COUNTS_PER_POLL;
+  guint first = partial ? lessee->next_counted % jobs->len : 0;
+
+  for (guint i = 0; i < MIN (jobs->len, COUNTS_PER_POLL); i++)
     {
-      const HzbJob *job = controller->jobs->active->pdata[i];
-      if (!job->running)
-        continue;
-      cJSON_AddNumberToObject (running, job->uid, job->running);
-      n++;
+      const HzbJob *job = jobs->pdata[(first + i) % jobs->len];
+      guint leave = GPOINTER_TO_UINT (g_hash_table_lookup (leaving_counts, job));
+      if (leave || partial)
+        cJSON_AddNumberToObject (leaving, job->uid, leave);
+      if (job->running || partial)
+        cJSON_AddNumberToObject (running, job->uid, job->running);
     }
-  return running;
+  if (partial)
+    cJSON_AddTrueToObject (message, "partial");
+  lessee->next_counted = first + COUNTS_PER_POLL;
 }
 
 static void
@@ -378,20 +383,56 @@
       hzb_json_add_u64 (root, "have", lessee->in_number);
       cJSON_AddItemToObject (root, "events", hzb_outbox_pack (&lessee->out, MAX_EVENT_BYTES));
       cJSON_AddNumberToObject (root, "room", hzb_lessee_valid (lessee) ? room (controller) : 0);
-      cJSON_AddItemToObject (root, "leaving", pack_leaving (controller));
-      cJSON_AddItemToObject (root, "running", pack_running (controller));
+      pack_counts (lessee, root);
     }
   hzb_send (controller->transport, "POST", addr, "/peer/v1/block", cJSON_PrintUnformatted (root), ASK_TIMEOUT_MS,
             on_answer, lessee);
   cJSON_Delete (root);
 }
 
+/* Tasks on their way back, in messages that are not too large. */
+typedef struct
+{
+  HzbLessee *lessee;
+  cJSON *groups; /* NULL: none yet */
+  guint tasks;
+} ReturnedTasks;
+
+static void
+push_returned (ReturnedTasks *returned)
+{
+  cJSON *body;
+  if (!returned->groups)
+    return;
+  body = cJSON_CreateObject ();
+  cJSON_AddItemToObject (body, "returned", returned->groups);
+  hzb_outbox_push (&returned->lessee->out, body);
+  returned->groups = NULL;
+  returned->tasks = 0;
+}
+
+static void
+return_task (ReturnedTasks *returned, HzbTask *task)
+{
+  HzbJobs *jobs = returned->lessee->controller->jobs;
+
+  if (task->state == HZB_TASK_LISTED)
+    hzb_task_set_state (jobs, task, HZB_TASK_PENDING, NULL);
+  g_queue_remove (&task->job->retry, task);
+  hzb_task_set_state (jobs, task, HZB_TASK_OTHER_OWNER, NULL);
+  if (!returned->groups)
+    returned->groups = cJSON_CreateObject ();
+  hzb_tasks_add (returned->groups, task);
+  if (++returned->tasks >= RETURNED_PER_EVENT)
+    push_returned (returned);
+}
+
 /* Tasks that have not started for a while, and those of jobs that are over, go back. */
 static void
 return_unstarted_tasks (HzbLessee *lessee, struct timespec now)
 {
   HzbController *controller = lessee->controller;
-  cJSON *groups = NULL;
+  ReturnedTasks returned = { lessee, NULL, 0 };
 
   for (guint i = 0; i < controller->jobs->active->len; i++)
     {
@@ -400,17 +441,9 @@
       for (guint k = 0; (job->pending || job->listed) && k < job->n_tasks; k++)
         {
           HzbTask *task = &job->tasks[k];
-          if (task->state != HZB_TASK_PENDING && task->state != HZB_TASK_LISTED)
-            continue;
-          if (!over && hzb_time_between (task->since, now) < UNSTARTED_TTL_S)
-            continue;
-          if (task->state == HZB_TASK_LISTED)
-            hzb_task_set_state (controller->jobs, task, HZB_TASK_PENDING, NULL);
-          g_queue_remove (&job->retry, task);
-          hzb_task_set_state (controller->jobs, task, HZB_TASK_OTHER_OWNER, NULL);
-          if (!groups)
-            groups = cJSON_CreateObject ();
-          hzb_tasks_add (groups, task);
+          if ((task->state == HZB_TASK_PENDING || task->state == HZB_TASK_LISTED)
+              && (over || hzb_time_between (task->since, now) >= UNSTARTED_TTL_S))
+            return_task (&returned, task);
         }
       if (over && !job->placed && !job->pending && !job->listed)
         {
@@ -418,12 +451,7 @@
           i--;
         }
     }
-  if (groups)
-    {
-      cJSON *body = cJSON_CreateObject ();
-      cJSON_AddItemToObject (body, "returned", groups);
-      hzb_outbox_push (&lessee->out, body);
-    }
+  push_returned (&returned);
 }
 
 static void
--- a/src/outbox.c
+++ b/src/outbox.c
@@ -2,8 +2,6 @@
 
 #include <string.h>
 
-#define MOST_PER_MESSAGE 160u
-
 typedef struct
 {
   guint64 number;
@@ -49,14 +47,13 @@
 {
   cJSON *list = cJSON_CreateArray ();
   gsize bytes = 0;
-  guint n = 0;
-  for (GList *l = outbox->waiting.head; l && n < MOST_PER_MESSAGE; l = l->next, n++)
+  for (GList *l = outbox->waiting.head; l; l = l->next)
     {
       Message *message = l->data;
       if (!message->sent)
         measure (message);
       bytes += message->bytes;
-      if (n && bytes > max_bytes)
+      if (l != outbox->waiting.head && bytes > max_bytes)
         break;
       message->sent = TRUE;
       cJSON_AddItemToArray (list, cJSON_Duplicate (message->body, TRUE));
--- a/src/peers.c
+++ b/src/peers.c
@@ -8,7 +8,9 @@
 #include <string.h>
 
 #define MOST_RETIRED 64u
-#define MOST_SHOWN 1000u /* jobs whose counts go with a heartbeat: some 35 bytes each */
+/* Jobs whose counts go with a heartbeat, some 35 bytes each. Of more the next ones tell, in turn. */
+#define MOST_SHOWN 1000u
+#define SHOWN_FOR_S 30.0 /* counts that were not told anew for so long are of jobs that are over */
 #define HEARTBEAT_TIMEOUT_MS 1500u
 #define CONFIRM_EVERY_S 2.5 /* each asks each by itself so often, whoever else asks: see hzb_peers_current_as_of() */
 /* The longest time in which a controller that learns of nothing may still answer a worker, and the worker take the answer:
@@ -42,6 +44,13 @@
   guint64 born, number[HZB_PEER_N_KINDS];
 } View;
 
+/* What the owner has told of a job's tasks. */
+typedef struct
+{
+  guint done, running;
+  struct timespec told;
+} Shown;
+
 /* From this time on all controllers but one knew the cancellations up to the revision. */
 typedef struct
 {
@@ -55,7 +64,8 @@
   GArray *views;              /* View */
   GHashTable *retired;        /* incarnations that others have followed */
   guint64 highest_known_term; /* the highest that a peer knew of */
-  GHashTable *display;        /* uid -> (done, running), by the owner's last heartbeat */
+  GHashTable *display;        /* uid -> Shown, by the owner's heartbeats */
+  guint next_shown;           /* of the jobs whose counts are told in turn */
   guint64 born, number;
   struct timespec next;
   struct timespec current_as_of; /* see hzb_peers_current_as_of() */
@@ -70,7 +80,7 @@
   struct timespec wall = hzb_clock_wall (controller->clock);
   peers->controller = controller;
   peers->born = (guint64) wall.tv_sec * 1000 + (guint64) wall.tv_nsec / 1000000;
-  peers->display = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  peers->display = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   peers->retired = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   peers->views = g_array_new (FALSE, TRUE, sizeof (View));
   for (guint i = 0; i < controller->settings->peers->len; i++)
@@ -337,9 +347,9 @@
 void
 hzb_peers_task_counts (HzbPeers *peers, const char *uid, guint *done, guint *running)
 {
-  guint64 seen = GPOINTER_TO_SIZE (g_hash_table_lookup (peers->display, uid));
-  *done = (guint) (seen >> 24);
-  *running = (guint) (seen & 0xffffff);
+  const Shown *shown = g_hash_table_lookup (peers->display, uid);
+  *done = shown ? shown->done : 0;
+  *running = shown ? shown->running : 0;
 }
 
 cJSON *
@@ -404,16 +414,20 @@
 
 /* ---- heartbeats ---- */
 
-/* What a leader says of its jobs; others say nothing. */
+/* What a leader says of its jobs; others say nothing. What is not named in a partial list stays as it was, so there those are
+ * named too of which nothing runs. */
 static void
 add_counts (HzbPeers *peers, HzbHeartbeat *heartbeat)
 {
-  const HzbController *controller = peers->controller;
-  for (guint i = 0; i < MIN (controller->jobs->active->len, MOST_SHOWN); i++)
+  const GPtrArray *jobs = peers->controller->jobs->active;
+  guint first = jobs->len > MOST_SHOWN ? peers->next_shown % jobs->len : 0;
+
+  heartbeat->partial_counts = jobs->len > MOST_SHOWN;
+  for (guint i = 0; i < MIN (jobs->len, MOST_SHOWN); i++)
     {
-      const HzbJob *job = controller->jobs->active->pdata[i];
+      const HzbJob *job = jobs->pdata[(first + i) % jobs->len];
       guint done = job->done + job->finished, running = job->running + job->delegated_running;
-      if (done || running)
+      if (done || running || heartbeat->partial_counts)
         hzb_heartbeat_add_counts (heartbeat, job->uid, done, running);
     }
 }
@@ -493,15 +507,29 @@
   return heartbeat;
 }
 
+static gboolean
+is_outdated (gpointer uid, gpointer shown, gpointer now)
+{
+  return hzb_time_between (((Shown *) shown)->told, *(struct timespec *) now) > SHOWN_FOR_S;
+}
+
 static void
 take_counts (HzbPeers *peers, const HzbHeartbeat *heartbeat)
 {
-  g_hash_table_remove_all (peers->display);
+  struct timespec now = hzb_clock_now (peers->controller->clock);
+
+  if (heartbeat->partial_counts)
+    g_hash_table_foreach_remove (peers->display, is_outdated, &now);
+  else
+    g_hash_table_remove_all (peers->display);
   for (guint i = 0; i < heartbeat->counts->len; i++)
     {
       const HzbTaskCounts *counts = &g_array_index (heartbeat->counts, HzbTaskCounts, i);
-      g_hash_table_insert (peers->display, g_strdup (counts->uid),
-                           GSIZE_TO_POINTER (((gsize) counts->done << 24) | (gsize) counts->running));
+      Shown *shown = g_new0 (Shown, 1);
+      shown->done = counts->done;
+      shown->running = counts->running;
+      shown->told = now;
+      g_hash_table_replace (peers->display, g_strdup (counts->uid), shown);
     }
 }
 
@@ -592,6 +620,7 @@
     return;
   peers->next = hzb_time_plus (now, 1);
   note_known_revisions (peers, now);
+  peers->next_shown += MOST_SHOWN; /* to each peer the same, once a second */
   for (guint i = 0; i < peers->views->len; i++)
     {
       const View *view = &g_array_index (peers->views, View, i);
