Blocks are surveyed at intervals, not at each report and poll

Need: with 4,000 machines each idle report looked at all jobs, each poll of a lessee at all machines three times and for each job that waits, each turn of the timer at all machines for leases, unknown tasks (once a block) and returns.

--- a/src/block-leases.h
+++ b/src/block-leases.h
@@ -32,6 +32,9 @@
 /** hzb_leases_lessee_name: Returns: (nullable): the node that the machine is leased to. */
 const char *hzb_leases_lessee_name (HzbLeases *leases, const HzbMachine *machine);
 
+/** hzb_job_is_delegable: it may run in any block. */
+gboolean hzb_job_is_delegable (const HzbJob *job);
+
 /** hzb_leases_next_token: a token of this term that was never used before. */
 guint64 hzb_leases_next_token (HzbLeases *leases);
 
--- a/src/machines.c
+++ b/src/machines.c
@@ -428,22 +428,44 @@
 }
 
 /* One for each kind is enough: there are few kinds, and many machines and jobs. */
+void
+hzb_machines_add_kind (GPtrArray *kinds, HzbMachine *machine)
+{
+  for (guint i = 0; i < kinds->len; i++)
+    if (same_kind (machine, kinds->pdata[i]))
+      return;
+  g_ptr_array_add (kinds, machine);
+}
+
+static void
+kinds_free (gpointer kinds)
+{
+  g_ptr_array_unref (kinds);
+}
+
 GPtrArray *
-hzb_machines_unverified_kinds (const HzbMachines *machines, guint unknown_tasks_of)
+hzb_machines_unverified_kinds (const HzbMachines *machines, guint n_blocks)
 {
-  GPtrArray *kinds = g_ptr_array_new ();
+  GPtrArray *of_blocks = g_ptr_array_new_with_free_func (kinds_free);
+
+  for (guint i = 0; i < n_blocks; i++)
+    g_ptr_array_add (of_blocks, g_ptr_array_new ());
   for (guint i = 0; i < machines->all->len; i++)
     {
       HzbMachine *machine = machines->all->pdata[i];
-      gboolean known = FALSE;
-      if (machine->unknown_tasks_of != unknown_tasks_of || !is_unverified (machine))
-        continue;
-      for (guint k = 0; k < kinds->len && !known; k++)
-        known = same_kind (machine, kinds->pdata[k]);
-      if (!known)
-        g_ptr_array_add (kinds, machine);
+      if (machine->unknown_tasks_of < n_blocks && is_unverified (machine))
+        hzb_machines_add_kind (of_blocks->pdata[machine->unknown_tasks_of], machine);
     }
-  return kinds;
+  return of_blocks;
+}
+
+/* With 4,000 machines five times a second, with a few hundred at each turn of the timer. */
+#define SURVEY_S_PER_MACHINE 5e-5
+
+double
+hzb_machines_survey_s (const HzbMachines *machines)
+{
+  return SURVEY_S_PER_MACHINE * machines->all->len;
 }
 
 gboolean
--- a/src/machines.h
+++ b/src/machines.h
@@ -144,8 +144,21 @@
 /* Its tasks are gone for certain: they go back to waiting. Its list is emptied too. */
 void hzb_machine_lose_tasks (HzbJobs *jobs, HzbMachine *machine);
 void hzb_machine_empty_lists (HzbJobs *jobs, HzbMachine *machine);
-/* Of the machines that may hold unknown tasks of this block, and have neither answered under our token nor are gone, one
- * (HzbMachine) of each type, zone and kind. */
-GPtrArray *hzb_machines_unverified_kinds (const HzbMachines *machines, guint unknown_tasks_of);
+/**
+ * hzb_machines_unverified_kinds: of the machines that may hold unknown tasks of a block, and have neither answered under our
+ * token nor are gone, one (HzbMachine) of each type, zone and kind. Looks at every machine once, for all blocks.
+ *
+ * Returns: (transfer full) (element-type GPtrArray): an array for each of the first @n_blocks blocks
+ */
+GPtrArray *hzb_machines_unverified_kinds (const HzbMachines *machines, guint n_blocks);
+
+/** hzb_machines_add_kind: adds the machine to the array unless it has one of the same type, zone and kind. */
+void hzb_machines_add_kind (GPtrArray *kinds, HzbMachine *machine);
+
+/**
+ * hzb_machines_survey_s: how long to wait before every machine is looked at again, for what would otherwise be looked at in
+ * each turn of the loop or at each poll: what that costs in a second does not grow with the fleet.
+ */
+double hzb_machines_survey_s (const HzbMachines *machines);
 /* One of these may hold an unknown task of the job: it could have been started there. */
 gboolean hzb_job_may_run_on_unverified (const HzbJob *job, const GPtrArray *unverified_kinds);
--- a/src/owner.c
+++ b/src/owner.c
@@ -134,11 +134,14 @@
 static void
 resolve_unknown (HzbController *controller)
 {
+  g_autoptr (GPtrArray) of_blocks = NULL;
+
   if (controller->ownership != HZB_OWNERSHIP_RECOVERING && !hzb_jobs_any_unknown (controller->jobs))
     return;
-  for (guint block = 0; block <= controller->settings->peers->len; block++)
+  of_blocks = hzb_machines_unverified_kinds (controller->machines, controller->settings->peers->len + 1);
+  for (guint block = 0; block < of_blocks->len; block++)
     {
-      g_autoptr (GPtrArray) unverified = hzb_machines_unverified_kinds (controller->machines, block);
+      const GPtrArray *unverified = of_blocks->pdata[block];
       for (guint i = 0; i < controller->jobs->active->len; i++)
         {
           HzbJob *job = controller->jobs->active->pdata[i];
@@ -153,8 +156,12 @@
 void
 hzb_owner_tick (HzbController *controller, struct timespec now)
 {
-  resolve_unknown (controller);
-  check_leases (controller, now);
+  if (!hzb_time_before (now, controller->next_survey))
+    {
+      controller->next_survey = hzb_time_plus (now, hzb_machines_survey_s (controller->machines));
+      resolve_unknown (controller);
+      check_leases (controller, now);
+    }
   maintain_jobs (controller, now);
   if (!hzb_time_before (now, controller->next_plan))
     {
--- a/src/provisioning.c
+++ b/src/provisioning.c
@@ -15,7 +15,7 @@
   char *list_after;
   GHashTable *gone;   /* names given back and when (struct timespec): lists lag */
   GHashTable *listed; /* names in the pages read so far */
-  struct timespec list_began, next_list, next_types, next_return, next_plan;
+  struct timespec list_began, next_list, next_types, next_return, next_plan, next_survey;
 };
 
 static void
@@ -307,7 +307,11 @@
     }
   if (controller->ownership < HZB_OWNERSHIP_RECOVERING)
     return;
-  give_back (controller, now);
+  if (!hzb_time_before (now, provisioning->next_survey))
+    {
+      provisioning->next_survey = hzb_time_plus (now, hzb_machines_survey_s (controller->machines));
+      give_back (controller, now);
+    }
   if (!hzb_time_before (now, provisioning->next_plan))
     {
       provisioning->next_plan = hzb_time_plus (now, 1);
