The first answer of a new owner stops cancelled work

Cause: a report that was not sent under the owner's token is answered with the token only, since nothing may be concluded from it. But the answer renews the lease.

Change: such an answer stops every task of a job that is known to be cancelled, as a leader that still reads its records did.

Before: /away/first-answer-stops-cancelled-work fails; after: it passes.

--- a/src/worker-api.c
+++ b/src/worker-api.c
@@ -326,15 +326,11 @@
   return machine;
 }
 
-/* A leader that has not read its records yet: the leases of its machines should live meanwhile, and nothing is concluded
- * from a report. Guards against work that is called cancelled and runs on for as long as an outage keeps the records from
- * being read: of a job that this node knows to be cancelled, every task is stopped. */
+/* Nothing is concluded from the report, but its answer renews the machine's lease. Guards against work that is called cancelled
+ * and runs on for another lease: of a job that this node knows to be cancelled, every task is stopped. */
 static void
-answer_while_loading (HzbController *controller, const HzbReport *report, HzbExchange *exchange)
+stop_cancelled (HzbController *controller, const HzbReport *report, GArray *commands)
 {
-  g_autoptr (GArray) commands = g_array_new (FALSE, FALSE, sizeof (HzbCommand));
-  guint64 token = hzb_token (hzb_election_term (controller->election), 0);
-
   for (guint i = 0; i < report->task_reports->len; i++)
     {
       const HzbTaskReport *task_report = &g_array_index (report->task_reports, HzbTaskReport, i);
@@ -342,6 +338,17 @@
       if (job && job->state == HZB_JOB_CANCELLED && task_report->state != HZB_TASK_REPORT_EXITED)
         command (commands, HZB_COMMAND_STOP, task_report->uid, task_report->task, task_report->attempt, 0);
     }
+}
+
+/* A leader that has not read its records yet: the leases of its machines should live meanwhile, for as long as an outage keeps
+ * the records from being read. */
+static void
+answer_while_loading (HzbController *controller, const HzbReport *report, HzbExchange *exchange)
+{
+  g_autoptr (GArray) commands = g_array_new (FALSE, FALSE, sizeof (HzbCommand));
+  guint64 token = hzb_token (hzb_election_term (controller->election), 0);
+
+  stop_cancelled (controller, report, commands);
   /* A token that the worker has seen already is not lowered. */
   hzb_exchange_reply (exchange, 200, hzb_wire_commands (MAX (token, report->token), commands), 0);
 }
@@ -484,8 +491,12 @@
           && (leads ? hzb_election_lease_valid (controller->election) : hzb_lessee_valid (controller->lessee)))
         hzb_dispatch_start_tasks (controller->dispatch, machine, now, commands);
     }
-  else if (machine->state == HZB_MACHINE_ACTIVE)
-    machine->ignored_answers++; /* it has not seen the token that it was answered under */
+  else
+    {
+      stop_cancelled (controller, report, commands);
+      if (machine->state == HZB_MACHINE_ACTIVE)
+        machine->ignored_answers++; /* it has not seen the token that it was answered under */
+    }
   if (machine->ignored_answers >= DEAF_AFTER)
     mark_unreachable (controller, machine, now);
   hzb_exchange_reply (exchange, 200, hzb_wire_commands (machine->token, commands), 0);
--- a/tests/test-away.c
+++ b/tests/test-away.c
@@ -166,6 +166,36 @@
     }
 }
 
+/* Guards against the first answer of a new leader: it knows nothing of the machine yet, but it renews its lease. A machine that
+ * reports once between two cuts would run cancelled work for another lease. */
+static void
+test_first_answer_stops_cancelled_work (void)
+{
+  for (guint32 seed = 740; seed < 746; seed++)
+    {
+      Sim *sim = cluster_at_work (seed);
+      SimMachine *machine = run_until (sim, HZB_MACHINE_ACTIVE);
+      guint64 before = machine->token;
+      guint leader;
+      g_autofree char *uid = g_strdup (((SimTask *) machine->tasks->pdata[0])->uid);
+      g_autofree char *task_report = g_strdup_printf ("{\"piece\":\"%s/0\",\"try\":1,\"status\":\"running\"}", uid);
+      for (guint i = 0; i < sim->machines->len; i++)
+        ((SimMachine *) sim->machines->pdata[i])->cut = TRUE;
+      cancel_all (sim);
+      sim_run (sim, sim->now + 3);
+      leader = (guint) MAX (sim_leader (sim), 0);
+      sim_crash (sim, leader);
+      sim_start (sim, leader);
+      sim_run (sim, sim->now + 8);
+      g_assert_cmpint (sim_leader (sim), >=, 0);
+      g_assert_cmpuint (machine->token, ==, before);
+      g_assert_cmpuint (report_again (sim, machine, machine->session, machine->seq + 5, task_report), ==, 200);
+      g_assert_nonnull (strstr (last_body, "\"kill\""));
+      g_assert_nonnull (strstr (last_body, uid));
+      sim_free (sim);
+    }
+}
+
 /* An outage of the state service for all is no reason to answer no workers: controllers prove to each other that none knows
  * more, so no lease ends and no work is lost, however long it lasts. */
 static void
@@ -193,6 +223,7 @@
   g_test_add_func ("/away/one-is-away", test_one_is_away);
   g_test_add_func ("/away/refused-alone", test_refused_alone);
   g_test_add_func ("/away/waking", test_waking);
+  g_test_add_func ("/away/first-answer-stops-cancelled-work", test_first_answer_stops_cancelled_work);
   g_test_add_func ("/away/outage", test_outage);
   return g_test_run ();
 }
