Bodies that are too large get 413 and are counted; sockets and peers are checked at start

Need: on 4,000 machines a node has thousands of connections. The backlog of 1,024 was met, 256 submissions and 512 questions that wait were numbers without regard to the node's sockets, and a process with fewer descriptors than sockets failed later, silently.

Change: the backlog is the system's, queues go by the sockets of the settings, the descriptor limit is raised at start or the node says why it can't start, settings that name a peer twice or too few sockets are refused by name. Bodies over 64 KiB, also chunked ones, get 413 (the test said 400, the answer to what is malformed) and are counted in GET metrics.

--- a/src/admin.c
+++ b/src/admin.c
@@ -316,7 +316,15 @@
 static cJSON *
 metrics (HzbController *controller)
 {
-  return hzb_metrics_pack (controller->metrics);
+  cJSON *root = hzb_metrics_pack (controller->metrics);
+  if (controller->api_server && controller->peer_server)
+    {
+      cJSON_AddNumberToObject (root, "connections", hzb_http_server_connections (controller->api_server));
+      hzb_json_add_u64 (root, "bodiesTooLarge",
+                        hzb_http_server_too_large (controller->api_server)
+                            + hzb_http_server_too_large (controller->peer_server));
+    }
+  return root;
 }
 
 static cJSON *
--- a/src/controller.h
+++ b/src/controller.h
@@ -69,6 +69,8 @@
   HzbPeers *peers;
   HzbProvisioning *provisioning;
 
+  HzbHttpServer *api_server, *peer_server; /* NULL in tests: for what they count */
+
   HzbMirror *mirror;
   gboolean load_saw_leader; /* the reading of all records under way has shown who leads */
 
--- a/src/http.c
+++ b/src/http.c
@@ -186,7 +186,8 @@
   GSocketAddress *remote;
   guint64 name; /* of its other end: the one thing libsoup tells of a connection that it was given */
   ConnectionState state;
-  guint rounds; /* sweeps in this state */
+  guint rounds;       /* sweeps in this state */
+  gboolean too_large; /* its request has been refused for its body */
 } Connection;
 
 struct _HzbHttpServer
@@ -199,6 +200,7 @@
   guint idle_source, accept_source;
   GHashTable *connections; /* Connection, by its name */
   guint sweeper, crowd;    /* crowd: as many open connections are a lot */
+  guint64 too_large;       /* requests whose body was over the limit */
 };
 
 /* Seconds between sweeps, and sweeps that a request has to come in whole, that an idle connection is kept, and
@@ -208,7 +210,7 @@
 #define IDLE_ROUNDS 30
 #define IDLE_CROWDED_ROUNDS 4
 #define EVENTS 64
-#define BACKLOG 1024 /* all workers may come at once */
+#define BACKLOG 16384 /* all workers may come at once; the system takes fewer if it is set to (net.core.somaxconn) */
 
 static void
 connection_clear (gpointer data)
@@ -431,10 +433,17 @@
             gpointer user)
 {
   HzbHttpServer *server = user;
-  HzbExchange *exchange = g_new0 (HzbExchange, 1);
+  HzbExchange *exchange;
   g_autoptr (SoupBuffer) body = soup_message_body_flatten (message->request_body);
   gboolean answered = FALSE;
 
+  if (body->length > HZB_MAX_BODY)
+    {
+      /* libsoup takes what came before the connection was shut down for the whole request, see on_chunk(). */
+      soup_message_set_status (message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE);
+      return;
+    }
+  exchange = g_new0 (HzbExchange, 1);
   exchange->method = g_strdup (message->method);
   exchange->path = g_strdup (path);
   exchange->body = g_strndup (body->data, body->length);
@@ -451,11 +460,13 @@
     }
 }
 
+/* Counted, never cut silently. */
 static void
-refuse_size (SoupMessage *message)
+refuse_size (HzbHttpServer *server, SoupMessage *message)
 {
   static const char refusal[] = "{\"error\":\"the body is over 64 KiB\"}";
-  soup_message_set_status (message, 400);
+  server->too_large++;
+  soup_message_set_status (message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE);
   soup_message_set_response (message, "application/json", SOUP_MEMORY_STATIC, refusal, sizeof refusal - 1);
   soup_message_headers_replace (message->response_headers, "Connection", "close");
 }
@@ -468,6 +479,18 @@
     set_state (connection, CONNECTION_ASKED);
 }
 
+/* Guards against a body that does not say how long it is and never ends. */
+static void
+on_chunk (SoupMessage *message, SoupBuffer *chunk, gpointer user)
+{
+  Connection *connection = user;
+  if (connection->too_large || message->request_body->length <= HZB_MAX_BODY)
+    return;
+  connection->too_large = TRUE;
+  connection->server->too_large++;
+  g_socket_shutdown (connection->socket, TRUE, TRUE, NULL); /* libsoup then ends it */
+}
+
 /* A body over the limit is refused from its headers, before it costs memory. */
 static void
 on_headers (SoupServer *soup, SoupMessage *message, const char *path, GHashTable *query, SoupClientContext *client,
@@ -486,7 +509,9 @@
     }
   if (soup_message_headers_get_encoding (message->request_headers) == SOUP_ENCODING_CONTENT_LENGTH
       && soup_message_headers_get_content_length (message->request_headers) > HZB_MAX_BODY)
-    refuse_size (message);
+    refuse_size (server, message);
+  else if (connection && soup_message_headers_get_encoding (message->request_headers) == SOUP_ENCODING_CHUNKED)
+    g_signal_connect (message, "got-chunk", G_CALLBACK (on_chunk), connection);
 }
 
 HzbHttpServer *
@@ -546,6 +571,12 @@
   g_free (server);
 }
 
+guint64
+hzb_http_server_too_large (HzbHttpServer *server)
+{
+  return server->too_large;
+}
+
 guint
 hzb_http_server_connections (HzbHttpServer *server)
 {
--- a/src/http.h
+++ b/src/http.h
@@ -47,3 +47,6 @@
 HzbHttpServer *hzb_http_server_new (const char *addr, guint sockets, HzbHandler handler, gpointer user, GError **error);
 void hzb_http_server_free (HzbHttpServer *server);
 guint hzb_http_server_connections (HzbHttpServer *server); /* open ones */
+
+/** hzb_http_server_too_large: how many requests were refused since the start for bodies over 64 KiB. */
+guint64 hzb_http_server_too_large (HzbHttpServer *server);
--- a/src/main.c
+++ b/src/main.c
@@ -3,6 +3,7 @@
 #include <malloc.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 
 /* LOG_LEVEL is the platform's: error, info or debug. */
 static GLogLevelFlags log_limit = G_LOG_LEVEL_MESSAGE;
@@ -28,6 +29,31 @@
   g_log_set_writer_func (write_log, NULL, NULL);
 }
 
+#define OTHER_DESCRIPTORS 64u /* beyond connections of users, workers and controllers */
+
+/* Returns: FALSE, with a message, if the system does not let this process have as many connections as the settings say. */
+static gboolean
+raise_descriptor_limit (const HzbSettings *settings)
+{
+  struct rlimit limit;
+  rlim_t need = (rlim_t) settings->sockets + OTHER_DESCRIPTORS;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur >= need)
+    return TRUE;
+  if (limit.rlim_max < need)
+    {
+      g_printerr (
+          "hazelbank: cluster.resources.sockets is %u, and this process may have %lu descriptors: raise the hard limit "
+          "(RLIMIT_NOFILE) to %lu or more\n",
+          settings->sockets, (unsigned long) limit.rlim_max, (unsigned long) need);
+      return FALSE;
+    }
+  limit.rlim_cur = need;
+  if (setrlimit (RLIMIT_NOFILE, &limit) != 0)
+    g_warning ("the limit of descriptors could not be raised to %lu", (unsigned long) need);
+  return TRUE;
+}
+
 static gboolean
 on_tick (gpointer controller)
 {
@@ -87,10 +113,16 @@
       g_print ("%s: the settings are in order\n", config);
       return 0;
     }
+  if (!raise_descriptor_limit (settings))
+    return 1;
   clock = hzb_clock_new ();
   controller = hzb_controller_new (settings, clock, hzb_http_client_new (), g_random_int ());
-  if (!hzb_http_server_new (settings->api_addr, settings->sockets, hzb_controller_request, controller, &error)
-      || !hzb_http_server_new (settings->peer_addr, settings->sockets, hzb_controller_peer_request, controller, &error))
+  controller->api_server =
+      hzb_http_server_new (settings->api_addr, settings->sockets, hzb_controller_request, controller, &error);
+  if (controller->api_server)
+    controller->peer_server =
+        hzb_http_server_new (settings->peer_addr, settings->sockets, hzb_controller_peer_request, controller, &error);
+  if (!controller->peer_server)
     {
       g_printerr ("hazelbank: can't listen: %s\n", error->message);
       return 1;
--- a/src/owner.c
+++ b/src/owner.c
@@ -2,6 +2,7 @@
 
 #include "controller.h"
 
+#define SOCKETS_PART 0.9  /* of a node's sockets, for the machines that report to it */
 #define LEASE_SLACK_S 1.0 /* beyond the lease and the drift of clocks */
 
 static void
@@ -106,6 +107,17 @@
     summary->other++;
 }
 
+/* Guards against connections that are refused for want of sockets, which looks like silent machines. */
+static void
+warn_of_few_sockets (const HzbController *controller, const FleetSummary *summary)
+{
+  guint reports_here = summary->up - summary->leased + summary->booting + summary->other;
+  if (reports_here > SOCKETS_PART * controller->settings->sockets)
+    g_warning (
+        "%u machines report to this node, and cluster.resources.sockets is %u: more sockets or controllers are needed",
+        reports_here, controller->settings->sockets);
+}
+
 /* One line that tells an operator how the fleet stands, leased machines included. */
 static void
 log_summary (HzbController *controller)
@@ -128,6 +140,8 @@
       "worth wait; timers are %.0f ms late",
       summary.up, summary.leased, summary.up_cpus, summary.held_cpus, summary.running_cpus, summary.spare_cpus,
       summary.booting, summary.booting_cpus, summary.other, summary.waiting_cpus, controller->dispatch->lag_s * 1e3);
+  if (controller->settings->sockets)
+    warn_of_few_sockets (controller, &summary);
 }
 
 /* A task waits only for machines that could have been told to start it: a replica, say, for no spot machine. */
--- a/src/settings.c
+++ b/src/settings.c
@@ -5,7 +5,9 @@
 #include <math.h>
 #include <stdlib.h>
 
-#define MOST_TXN_OPS 1e6 /* no transaction of ours comes near */
+#define MOST_PEERS 250u   /* an owner is told apart by a byte */
+#define OTHER_SOCKETS 16u /* to the state service and the cloud, and from the load balancer */
+#define MOST_TXN_OPS 1e6  /* no transaction of ours comes near */
 
 GQuark
 hzb_settings_error_quark (void)
@@ -186,6 +188,40 @@
     }
 }
 
+/* Whom this node exchanges messages with: each once, and not itself. */
+static void
+check_peers (const HzbSettings *settings, GString *faults)
+{
+  if (settings->peers->len > MOST_PEERS)
+    fault (faults, "", "peers", "at most 250 other controllers");
+  for (guint i = 0; i < settings->peers->len; i++)
+    {
+      const HzbPeer *peer = settings->peers->pdata[i];
+      if (g_strcmp0 (peer->node, settings->node) == 0)
+        fault (faults, "peers", "node", "another name than this node's own");
+      for (guint k = 0; k < i; k++)
+        {
+          const HzbPeer *other = settings->peers->pdata[k];
+          if (g_strcmp0 (peer->node, other->node) == 0)
+            fault (faults, "peers", "node", "a name that no other peer has");
+          if (g_strcmp0 (peer->address, other->address) == 0)
+            fault (faults, "peers", "address", "an address that no other peer has");
+        }
+    }
+}
+
+/* Beside the workers': to each other controller, to the state service and the cloud, from the load balancer. */
+static void
+check_sockets (const HzbSettings *settings, GString *faults)
+{
+  char expected[96];
+  guint least = OTHER_SOCKETS + 2 * settings->peers->len;
+  if (settings->sockets >= least)
+    return;
+  g_snprintf (expected, sizeof expected, "at least %u, and one more for each machine that reports here", least);
+  fault (faults, "cluster.resources", "sockets", expected);
+}
+
 HzbSettings *
 hzb_settings_parse (const char *text, const char *name, GError **error)
 {
@@ -226,6 +262,9 @@
   if ((table = table_at (root, "", "cluster", faults)))
     read_cluster (settings, table, faults);
   cJSON_Delete (root);
+  check_peers (settings, faults);
+  if (settings->sockets)
+    check_sockets (settings, faults);
   if (faults->len)
     {
       g_set_error (error, HZB_SETTINGS_ERROR, 2, "%s", faults->str);
--- a/src/submissions.c
+++ b/src/submissions.c
@@ -5,7 +5,8 @@
 
 #include <string.h>
 
-#define MAX_QUEUED_SUBMISSIONS 256u
+#define LEAST_QUEUE 256u /* submissions that may wait on any node, and */
+#define QUEUE_PART 0.25  /* of the connections that it may have: each that waits holds one */
 #define MAX_BATCHES_SENT 2u
 #define ACCEPT_WITHIN_S 2.5   /* or its user is told to come back */
 #define RECORD_SLACK_BYTES 64 /* braces and names around what a record holds */
@@ -271,12 +272,13 @@
                           2);
       return;
     }
-  if (api->submissions.length >= MAX_QUEUED_SUBMISSIONS)
+  if (api->submissions.length >= MAX (LEAST_QUEUE, QUEUE_PART * controller->settings->sockets))
     {
       hzb_exchange_reply (exchange, 429, hzb_wire_error ("more submissions than can be taken"), 2);
       return;
     }
   drop_unknown_types (controller, spec);
+  g_clear_pointer (&exchange->body, g_free); /* up to 64 KiB for as long as it waits */
   submission = submission_new (controller, exchange, g_steal_pointer (&spec));
   if ((double) strlen (submission->packed) > max_record_bytes (controller))
     {
--- a/src/user-api.c
+++ b/src/user-api.c
@@ -7,7 +7,8 @@
 
 #include <string.h>
 
-#define MAX_QUEUED_CHECKS 512u
+#define LEAST_QUEUE 512u /* questions that may wait on any node, and */
+#define QUEUE_PART 0.5   /* of the connections that it may have: each that waits holds one */
 #define CHECK_EVERY_S 0.03
 /* How long a cancellation may wait for the owners' acknowledgements before its user gets 503 with Retry-After. */
 #define CANCEL_ACKNOWLEDGE_S 1.2
@@ -73,6 +74,12 @@
   hzb_exchange_reply (exchange, 503, hzb_wire_error (why), 1);
 }
 
+static guint
+most_queued (const HzbUserApi *api)
+{
+  return MAX (LEAST_QUEUE, (guint) (QUEUE_PART * api->controller->settings->sockets));
+}
+
 static void
 give_up (HzbCheck *check, const char *why)
 {
@@ -125,7 +132,7 @@
       check_free (check);
     }
   else if (!hzb_cancellations_request (controller->cancellations, job)
-           || api->pending_cancellations.length >= MAX_QUEUED_CHECKS)
+           || api->pending_cancellations.length >= most_queued (api))
     give_up (check, "not every controller has acknowledged the cancellation");
   else
     {
@@ -344,7 +351,7 @@
       hzb_user_api_reply_unavailable (exchange, "the state service does not answer");
       return;
     }
-  if (api->checks.length >= MAX_QUEUED_CHECKS)
+  if (api->checks.length >= most_queued (api))
     {
       hzb_exchange_reply (exchange, question == HZB_QUESTION_SUBMISSION ? 429 : 503,
                           hzb_wire_error ("too much is asked at once"), 2);
--- a/tests/test-wire.c
+++ b/tests/test-wire.c
@@ -159,6 +159,22 @@
   g_assert_nonnull (strstr (error->message, "x.toml:2"));
 }
 
+/* What would be found out only under load, or never. */
+static void
+test_cluster_faults (void)
+{
+  g_autoptr (GError) error = NULL;
+  g_assert_null (
+      hzb_settings_parse ("node = \"n0\"\n[[peers]]\nnode = \"n0\"\naddress = \"10.0.0.2:81\"\n"
+                          "[[peers]]\nnode = \"n1\"\naddress = \"10.0.0.2:81\"\n"
+                          "[[peers]]\nnode = \"n1\"\naddress = \"10.0.0.3:81\"\n[cluster.resources]\nsockets = 16\n",
+                          "x", &error));
+  g_assert_nonnull (strstr (error->message, "peers.node: expected another name than this node's own"));
+  g_assert_nonnull (strstr (error->message, "peers.node: expected a name that no other peer has"));
+  g_assert_nonnull (strstr (error->message, "peers.address: expected an address that no other peer has"));
+  g_assert_nonnull (strstr (error->message, "cluster.resources.sockets: expected at least 22, and one more for each"));
+}
+
 static void
 test_unknown_fields (void)
 {
@@ -267,6 +283,7 @@
   g_test_add_func ("/wire/report", test_report);
   g_test_add_func ("/wire/large-numbers", test_large_numbers);
   g_test_add_func ("/settings/faults", test_settings_faults);
+  g_test_add_func ("/settings/cluster-faults", test_cluster_faults);
   g_test_add_func ("/settings/team-without-limit", test_team_without_limit);
   g_test_add_func ("/settings/next-limits", test_next_limits);
   g_test_add_func ("/settings/unknown-fields", test_unknown_fields);
