A load tool: one real controller with thousands of connections of workers on loopback

Need: the simulated cluster has no sockets. The tool starts one controller, puts the fakes of the state service and the cloud behind HTTP and reports as so many workers do, at rest and after the controller was killed.

--- /dev/null
+++ b/tests/load-workers.c
@@ -0,0 +1,421 @@
+/* Load tool: one real controller process on loopback, with fakes of the state service and the cloud behind HTTP, and as many
+ * connections of workers as asked for. It measures how reports are answered at rest and after the controller was killed and
+ * started again, and stops by itself. Not part of the tests:
+ *
+ *     target/tests/load-workers --controller target/hazelbank --machines 4000 --seconds 30
+ */
+#include "sim-internal.h"
+
+#define SOUP_VERSION_MIN_REQUIRED SOUP_VERSION_2_70
+#include <arpa/inet.h>
+#include <errno.h>
+#include <glib-unix.h>
+#include <libsoup/soup.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/prctl.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define API_PORT 18080
+#define PEER_PORT 18081
+#define STORE_PORT 18082
+#define CLOUD_PORT 18083
+#define REPORT_S 5.0
+#define ANSWER_WITHIN_S 4.0 /* a worker waits no longer */
+#define RETRY_S 1.0
+#define TURN_MS 5
+#define MOST_SECONDS 300
+
+typedef struct
+{
+  int fd;
+  char name[16];
+  guint tick;
+  guint64 token;
+  gboolean asking, answered; /* answered: since the last restart */
+  double next_s, asked_s;
+  guint refused, most_refused; /* in a row */
+  char input[4096];
+  gsize read;
+} Worker;
+
+static Sim *sim;
+static GArray *workers; /* Worker */
+static GArray *latencies;
+static guint answers, refusals, losses;
+static int events;
+static gint64 began_us;
+
+static double
+now_s (void)
+{
+  return (double) (g_get_monotonic_time () - began_us) / 1e6;
+}
+
+/* ---- the fakes, behind HTTP ---- */
+
+static void
+on_fake_answer (guint status, const char *body, gsize length, gpointer user)
+{
+  gpointer *pair = user;
+  soup_message_set_status (pair[1], status);
+  soup_message_set_response (pair[1], "application/json", SOUP_MEMORY_COPY, body, length);
+  soup_server_unpause_message (pair[0], pair[1]);
+  g_object_unref (pair[1]);
+  g_free (pair);
+}
+
+static void
+on_fake_request (SoupServer *server, SoupMessage *message, const char *path, GHashTable *query,
+                 SoupClientContext *client, gpointer store)
+{
+  SimCall *call = g_new0 (SimCall, 1);
+  gpointer *pair = g_new0 (gpointer, 2);
+  g_autoptr (SoupBuffer) body = soup_message_body_flatten (message->request_body);
+
+  pair[0] = server;
+  pair[1] = g_object_ref (message);
+  call->method = g_strdup (message->method);
+  call->addr = g_strdup (store ? SIM_STORE_ADDRESS : SIM_CLOUD_ADDRESS);
+  call->path = soup_uri_to_string (soup_message_get_uri (message), TRUE);
+  call->body = g_strndup (body->data, body->length);
+  call->done = on_fake_answer;
+  call->user = pair;
+  call->refs = 1;
+  soup_server_pause_message (server, message);
+  if (store)
+    sim_store_request (sim, call);
+  else
+    sim_cloud_request (sim, call);
+}
+
+static void
+serve (guint port, gboolean store)
+{
+  g_autoptr (GError) error = NULL;
+  SoupServer *server = soup_server_new (NULL, NULL);
+  soup_server_add_handler (server, NULL, on_fake_request, GINT_TO_POINTER (store), NULL);
+  if (!soup_server_listen_local (server, port, SOUP_SERVER_LISTEN_IPV4_ONLY, &error))
+    g_error ("port %u: %s", port, error->message);
+}
+
+static gboolean
+on_turn (gpointer data)
+{
+  sim_run (sim, now_s ());
+  return G_SOURCE_CONTINUE;
+}
+
+/* ---- workers ---- */
+
+static void
+close_worker (Worker *worker, double retry_s)
+{
+  if (worker->fd >= 0)
+    close (worker->fd);
+  worker->fd = -1;
+  worker->asking = FALSE;
+  worker->read = 0;
+  worker->next_s = now_s () + retry_s;
+}
+
+static gboolean
+connect_worker (Worker *worker)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons (API_PORT) };
+  struct epoll_event event = { .events = EPOLLIN | EPOLLRDHUP,
+                               .data.u64 = (guint64) (worker - (Worker *) (gpointer) workers->data) };
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  worker->fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (worker->fd < 0
+      || (connect (worker->fd, (struct sockaddr *) &address, sizeof address) != 0 && errno != EINPROGRESS)
+      || epoll_ctl (events, EPOLL_CTL_ADD, worker->fd, &event) != 0)
+    {
+      close_worker (worker, RETRY_S);
+      return FALSE;
+    }
+  return TRUE;
+}
+
+static void
+send_report (Worker *worker)
+{
+  g_autofree char *body = NULL, *request = NULL;
+  gssize sent;
+
+  if (worker->fd < 0 && !connect_worker (worker))
+    return;
+  body = g_strdup_printf (
+      "{\"host\":\"%s\",\"addr\":\"127.0.0.1:1\",\"flavor\":\"small\",\"yard\":\"za\",\"loaners\":true,\"tenure\":1,"
+      "\"tick\":%u,\"baton\":%" G_GUINT64_FORMAT ",\"pieces\":[]}",
+      worker->name, ++worker->tick, worker->token);
+  request = g_strdup_printf ("POST /hello HTTP/1.1\r\nHost: x\r\nContent-Length: %zu\r\n\r\n%s", strlen (body), body);
+  sent = send (worker->fd, request, strlen (request), MSG_NOSIGNAL);
+  if (sent != (gssize) strlen (request))
+    {
+      worker->next_s = now_s () + 0.02; /* the connection is not there yet */
+      if (errno != EAGAIN && errno != ENOTCONN)
+        {
+          losses++;
+          close_worker (worker, RETRY_S);
+        }
+      return;
+    }
+  worker->asking = TRUE;
+  worker->asked_s = now_s ();
+}
+
+/* Guards of the protocol that are not needed here are left out: these workers run nothing. */
+static void
+take_answer (Worker *worker, const char *body)
+{
+  guint status = (guint) g_ascii_strtoull (worker->input + strlen ("HTTP/1.1 "), NULL, 10);
+  double latency = now_s () - worker->asked_s;
+  cJSON *root = cJSON_Parse (body);
+
+  g_array_append_val (latencies, latency);
+  worker->token = MAX (worker->token, hzb_json_u64 (root, "baton"));
+  cJSON_Delete (root);
+  answers += status == 200;
+  refusals += status != 200;
+  worker->refused = status == 200 ? 0 : worker->refused + 1;
+  worker->most_refused = MAX (worker->most_refused, worker->refused);
+  worker->answered = worker->answered || status == 200;
+  worker->asking = FALSE;
+  worker->read = 0;
+  if (status == 200)
+    worker->next_s = now_s () + REPORT_S * g_random_double_range (0.75, 1.25);
+  else
+    close_worker (worker, RETRY_S);
+}
+
+static void
+read_answer (Worker *worker)
+{
+  gssize got = recv (worker->fd, worker->input + worker->read, sizeof worker->input - 1 - worker->read, 0);
+  const char *body, *length;
+
+  if (got < 0 && errno == EAGAIN)
+    return;
+  if (got <= 0)
+    {
+      losses += worker->asking;
+      close_worker (worker, RETRY_S);
+      return;
+    }
+  worker->read += (gsize) got;
+  worker->input[worker->read] = '\0';
+  body = strstr (worker->input, "\r\n\r\n");
+  length = strstr (worker->input, "Content-Length: ");
+  if (body && length && strlen (body + 4) >= g_ascii_strtoull (length + strlen ("Content-Length: "), NULL, 10))
+    take_answer (worker, body + 4);
+}
+
+static gboolean
+on_workers (gpointer data)
+{
+  struct epoll_event ready[512];
+  int n;
+  while ((n = epoll_wait (events, ready, G_N_ELEMENTS (ready), 0)) > 0)
+    for (int i = 0; i < n; i++)
+      {
+        Worker *worker = &g_array_index (workers, Worker, ready[i].data.u64);
+        if (worker->fd >= 0)
+          read_answer (worker);
+      }
+  for (guint i = 0; i < workers->len; i++)
+    {
+      Worker *worker = &g_array_index (workers, Worker, i);
+      if (worker->asking && now_s () - worker->asked_s > ANSWER_WITHIN_S)
+        {
+          losses++;
+          close_worker (worker, RETRY_S);
+        }
+      else if (!worker->asking && now_s () >= worker->next_s)
+        send_report (worker);
+    }
+  return G_SOURCE_CONTINUE;
+}
+
+/* ---- the controller ---- */
+
+static char *
+write_settings (guint machines)
+{
+  char *path = g_build_filename (g_get_tmp_dir (), "hazelbank-load-XXXXXX", NULL);
+  g_autofree char *text = g_strdup_printf (
+      "node = \"n0\"\nsite = \"za\"\napi_addr = \"127.0.0.1:%u\"\ncluster_listen = \"127.0.0.1:%u\"\n[external]\n"
+      "cloud = \"127.0.0.1:%u\"\nstate = \"127.0.0.1:%u\"\n[cluster]\nsize = 1\nzones = [\"za\", \"zb\"]\n"
+      "[[cluster.teams]]\nname = \"red\"\ncpus = 100\n[cluster.workers]\nreport_s = %g\nlease_s = 26.5\ncancel_s = 46.5\n"
+      "[cluster.state]\nrps = 800\nwrite_rps = 70\nvalue_kb = 16\ntxn_ops = 16\n[cluster.cloud]\nrps = 15\nlist_lag_s = 3\n"
+      "[cluster.resources]\nsockets = %u\n",
+      API_PORT, PEER_PORT, CLOUD_PORT, STORE_PORT, REPORT_S, machines + 200);
+  close (g_mkstemp (path));
+  g_file_set_contents (path, text, -1, NULL);
+  return path;
+}
+
+/* However this tool ends, the controller ends with it. */
+static void
+end_with_parent (gpointer data)
+{
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
+}
+
+static GPid
+start_controller (const char *program, const char *settings)
+{
+  g_autoptr (GError) error = NULL;
+  const char *const arguments[] = { program, "--config", settings, NULL };
+  GPid pid;
+  if (!g_spawn_async (NULL, (char **) arguments, NULL,
+                      G_SPAWN_DO_NOT_REAP_CHILD | G_SPAWN_STDERR_TO_DEV_NULL | G_SPAWN_STDOUT_TO_DEV_NULL,
+                      end_with_parent, NULL, &pid, &error))
+    g_error ("%s", error->message);
+  return pid;
+}
+
+/* Seconds of processor time and MiB of resident memory. */
+static void
+read_usage (GPid pid, double *cpu_s, double *memory_mib)
+{
+  g_autofree char *path = g_strdup_printf ("/proc/%d/stat", (int) pid), *text = NULL;
+  g_auto (GStrv) fields = NULL;
+  *cpu_s = *memory_mib = 0;
+  if (!g_file_get_contents (path, &text, NULL, NULL))
+    return;
+  fields = g_strsplit (strrchr (text, ')') + 2, " ", 0);
+  *cpu_s = (g_ascii_strtod (fields[11], NULL) + g_ascii_strtod (fields[12], NULL)) / (double) sysconf (_SC_CLK_TCK);
+  *memory_mib = g_ascii_strtod (fields[21], NULL) * (double) sysconf (_SC_PAGESIZE) / 1048576;
+}
+
+static void
+turn_until (double until_s)
+{
+  while (now_s () < until_s)
+    g_main_context_iteration (NULL, TRUE);
+}
+
+static gint
+compare_doubles (gconstpointer a, gconstpointer b)
+{
+  const double *x = a, *y = b;
+  return *x < *y ? -1 : *x > *y;
+}
+
+static double
+percentile (double part)
+{
+  g_array_sort (latencies, compare_doubles);
+  return latencies->len ? 1e3 * g_array_index (latencies, double, (guint) (part * (latencies->len - 1))) : 0;
+}
+
+/* Returns: seconds until every worker has got a 200, or -1. */
+static double
+measure (const char *what, GPid pid, double seconds)
+{
+  double began = now_s (), all = -1, before, after, memory;
+  guint most_refused = 0;
+
+  answers = refusals = losses = 0;
+  g_array_set_size (latencies, 0);
+  for (guint i = 0; i < workers->len; i++)
+    {
+      Worker *worker = &g_array_index (workers, Worker, i);
+      worker->answered = FALSE;
+      worker->refused = worker->most_refused = 0;
+    }
+  read_usage (pid, &before, &memory);
+  while (now_s () < began + seconds)
+    {
+      guint answered = 0;
+      turn_until (now_s () + 0.1);
+      for (guint i = 0; all < 0 && i < workers->len; i++)
+        answered += g_array_index (workers, Worker, i).answered;
+      if (all < 0 && answered == workers->len)
+        all = now_s () - began;
+    }
+  for (guint i = 0; i < workers->len; i++)
+    most_refused = MAX (most_refused, g_array_index (workers, Worker, i).most_refused);
+  read_usage (pid, &after, &memory);
+  g_print (
+      "%s: %.0f s, %u workers: %u reports answered (%.0f a second), %u refused (%u in a row at most), %u without answer; p50 "
+      "%.1f ms, p99 %.1f ms, most %.1f ms; all answered after %.1f s; processor %.3f of a core, %.2f ms a report, %.1f MiB\n",
+      what, seconds, workers->len, answers, answers / seconds, refusals, most_refused, losses, percentile (0.5),
+      percentile (0.99), percentile (1), all, (after - before) / seconds,
+      answers ? 1e3 * (after - before) / answers : 0, memory);
+  return all;
+}
+
+int
+main (int argc, char **argv)
+{
+  g_autofree char *program = NULL, *settings = NULL;
+  gint machines = 4000, seconds = 30;
+  const GOptionEntry entries[] = {
+    { "controller", 0, 0, G_OPTION_ARG_FILENAME, &program, "The controller to load", "FILE" },
+    { "machines", 0, 0, G_OPTION_ARG_INT, &machines, "Connections of workers", "N" },
+    { "seconds", 0, 0, G_OPTION_ARG_INT, &seconds, "How long each of the two measurements takes", "S" },
+    { NULL, 0, 0, 0, NULL, NULL, NULL },
+  };
+  g_autoptr (GOptionContext) context = g_option_context_new ("- many workers for one controller");
+  g_autoptr (GError) error = NULL;
+  struct rlimit limit = { (rlim_t) machines + 500, (rlim_t) machines + 500 };
+  SimSize size = sim_size_large;
+  GPid pid;
+
+  g_option_context_add_main_entries (context, entries, NULL);
+  if (!g_option_context_parse (context, &argc, &argv, &error) || !program || machines < 1 || machines > 20000
+      || seconds < 1 || seconds > MOST_SECONDS)
+    {
+      g_printerr ("load-workers: %s\n",
+                  error ? error->message : "--controller FILE, 1 to 20000 machines, 1 to 300 seconds");
+      return 2;
+    }
+  if (setrlimit (RLIMIT_NOFILE, &limit) != 0)
+    g_printerr ("load-workers: the limit of descriptors stays as it is\n");
+  alarm ((guint) (2 * seconds + 60)); /* it stops by itself, whatever happens */
+  began_us = g_get_monotonic_time ();
+  size.machines = (guint) machines;
+  size.check_s = MOST_SECONDS;
+  sim = sim_new_sized (1, &size);
+  for (guint i = 0; i < SIM_NODES; i++)
+    sim_crash (sim, i); /* the controller is a process */
+  g_sequence_remove_range (g_sequence_get_begin_iter (sim->events), g_sequence_get_end_iter (sim->events));
+  sim->nodes[0].controller = (gpointer) sim; /* somebody is there to be answered; never looked into */
+  sim->nodes[0].life = 0;
+  workers = g_array_sized_new (FALSE, TRUE, sizeof (Worker), (guint) machines);
+  latencies = g_array_new (FALSE, FALSE, sizeof (double));
+  events = epoll_create1 (EPOLL_CLOEXEC);
+  for (gint i = 0; i < machines; i++)
+    {
+      SimMachine *machine = sim_add_machine (sim, "small", "za", TRUE, 1e9);
+      Worker worker = { .fd = -1 };
+      machine->up = TRUE;
+      machine->listed_at = 0;
+      g_strlcpy (worker.name, machine->name, sizeof worker.name);
+      worker.next_s = 2 + g_random_double_range (0, 2);
+      g_array_append_val (workers, worker);
+    }
+  serve (STORE_PORT, TRUE);
+  serve (CLOUD_PORT, FALSE);
+  g_timeout_add (TURN_MS, on_turn, NULL);
+  g_timeout_add (TURN_MS, on_workers, NULL);
+  settings = write_settings ((guint) machines);
+  pid = start_controller (program, settings);
+  turn_until (10);
+  measure ("at rest", pid, seconds);
+  kill (pid, SIGKILL);
+  waitpid (pid, NULL, 0);
+  pid = start_controller (program, settings);
+  measure ("after it was killed and started again", pid, seconds);
+  kill (pid, SIGKILL);
+  waitpid (pid, NULL, 0);
+  unlink (settings);
+  return 0;
+}
