Each kind of machines is asked for once before any is asked for again

Cause: since rentals may repeat a kind in one plan, the cheapest was rented alone at first, and it may boot longest.

--- a/src/autoscaler.c
+++ b/src/autoscaler.c
@@ -360,6 +360,7 @@
       const Demand *demand = all->pdata[i];
       double have = supply (autoscaler, demand, now), least_price = cheapest (autoscaler, demand, TRUE);
       g_autoptr (GHashTable) tried = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+      gboolean more_wanted = FALSE; /* a kind was asked for with as many as one call takes */
 
       for (guint k = 0; k < out->len; k++)
         {
@@ -410,6 +411,14 @@
                       }
                   }
             }
+          /* Guards against a fleet that grows by one call a second where it has few kinds of machines: once each kind was asked
+           * for, they are asked for once more. Not before, since the cheapest kind may be the one that boots longest. */
+          if (!best && more_wanted)
+            {
+              more_wanted = FALSE;
+              g_hash_table_remove_all (tried);
+              continue;
+            }
           if (!best)
             break;
           units = useful_units (best, demand);
@@ -419,9 +428,8 @@
           rental =
               (HzbRental){ best, best_zone, best_spot, (guint) CLAMP (ceil (lack / units - 0.25), 1, MOST_PER_RENTAL) };
           g_array_append_val (out, rental);
-          /* Guards against a fleet that grows by one call a second where it has one kind of machines. */
-          if (rental.count < MOST_PER_RENTAL)
-            g_hash_table_add (tried, offer_name (best, best_zone, best_spot));
+          more_wanted = more_wanted || rental.count == MOST_PER_RENTAL;
+          g_hash_table_add (tried, offer_name (best, best_zone, best_spot));
           have += rental.count * units;
         }
     }
