--- a/tests/sim-faults.c
+++ b/tests/sim-faults.c
@@ -167,7 +167,7 @@
 }
 
 guint
-report_again (Sim *sim, SimMachine *machine, guint64 session, guint64 seq, const char *task_reports)
+report_to (Sim *sim, guint node, SimMachine *machine, guint64 session, guint64 seq, const char *task_reports)
 {
   HzbExchange *exchange = g_new0 (HzbExchange, 1);
   guint status = 0;
@@ -180,10 +180,29 @@
   exchange->length = strlen (exchange->body);
   exchange->reply = keep_status;
   exchange->impl = &status;
-  hzb_controller_request (exchange, sim->nodes[sim_leader (sim)].controller);
+  hzb_controller_request (exchange, sim->nodes[node].controller);
   return status;
 }
 
+guint
+report_again (Sim *sim, SimMachine *machine, guint64 session, guint64 seq, const char *task_reports)
+{
+  return report_to (sim, (guint) sim_leader (sim), machine, session, seq, task_reports);
+}
+
+guint
+tasks_running (const Sim *sim)
+{
+  guint n = 0;
+  for (guint i = 0; i < sim->machines->len; i++)
+    {
+      const SimMachine *machine = sim->machines->pdata[i];
+      for (guint k = 0; k < machine->tasks->len && !machine->gone; k++)
+        n += ((SimTask *) machine->tasks->pdata[k])->state == 2;
+    }
+  return n;
+}
+
 SimJob *
 add_service (Sim *sim, double at, const char *team, guint n, double cpus, double cancel_at)
 {
--- a/tests/sim-faults.h
+++ b/tests/sim-faults.h
@@ -17,6 +17,8 @@
 SimMachine *run_until (Sim *sim, HzbMachineState state);
 SimMachine *machine_with_tasks (Sim *sim);
 void keep_status (HzbExchange *exchange, guint status, const char *body, guint retry);
+/* A report that the machine did not send itself, to one node, or to the leader. Returns: the status of the answer. */
+guint report_to (Sim *sim, guint node, SimMachine *machine, guint64 session, guint64 seq, const char *task_reports);
 guint report_again (Sim *sim, SimMachine *machine, guint64 session, guint64 seq, const char *task_reports);
 /* A service spread over zones, on ordinary machines, whose user cancels it from then on. */
 SimJob *add_service (Sim *sim, double at, const char *team, guint n, double cpus, double cancel_at);
@@ -30,4 +32,5 @@
 void many_jobs (Sim *sim, guint n, double over_s, double run_s);
 /* So many machines of sim_size_large, at work for some 15 s. */
 Sim *large_fleet (guint32 seed, guint machines, guint jobs, double run_s);
+guint tasks_running (const Sim *sim);
 void cancel_all (Sim *sim); /* every user wants to cancel from now on */
--- a/tests/test-away.c
+++ b/tests/test-away.c
@@ -124,24 +124,6 @@
     }
 }
 
-static guint
-report_to (Sim *sim, guint node, SimMachine *machine)
-{
-  HzbExchange *exchange = g_new0 (HzbExchange, 1);
-  guint status = 0;
-  exchange->method = g_strdup ("POST");
-  exchange->path = g_strdup ("/hello");
-  exchange->body = g_strdup_printf (
-      "{\"host\":\"%s\",\"addr\":\"10.1.0.1:1\",\"flavor\":\"%s\",\"yard\":\"%s\",\"loaners\":false,"
-      "\"tenure\":%u,\"tick\":%u,\"baton\":%" G_GUINT64_FORMAT ",\"pieces\":[]}",
-      machine->name, machine->type, machine->zone, (guint) machine->session, (guint) machine->seq + 1, machine->token);
-  exchange->length = strlen (exchange->body);
-  exchange->reply = keep_status;
-  exchange->impl = &status;
-  hzb_controller_request (exchange, sim->nodes[node].controller);
-  return status;
-}
-
 /* Guards against a controller that stood still: what comes first on waking finds it as it was, before it has looked at its
  * clock. The others count on it that it renews no worker's lease any more. */
 static void
@@ -152,13 +134,13 @@
       Sim *sim = cluster_at_work (seed);
       guint leader = (guint) MAX (sim_leader (sim), 0);
       SimMachine *machine = run_until (sim, HZB_MACHINE_ACTIVE);
-      g_assert_cmpuint (report_to (sim, leader, machine), ==, 200);
+      g_assert_cmpuint (report_to (sim, leader, machine, machine->session, machine->seq + 1, ""), ==, 200);
       machine->cut = TRUE; /* no other controller has answered it */
       sim->nodes[leader].paused = TRUE;
       sim_run (sim, sim->now + HZB_CANCELLATIONS_KNOWN_S + 1);
       g_assert_true (hzb_election_leading (sim->nodes[leader].controller->election));
       machine->seq += 2;
-      g_assert_cmpuint (report_to (sim, leader, machine), ==, 503);
+      g_assert_cmpuint (report_to (sim, leader, machine, machine->session, machine->seq + 1, ""), ==, 503);
       sim_wake (sim, leader);
       sim_run (sim, sim->now + 20);
       expect_no_fault (sim, "waking", seed);
--- a/tests/test-scale.c
+++ b/tests/test-scale.c
@@ -57,19 +57,6 @@
 
 /* ---- the simulated cluster ---- */
 
-static guint
-running (Sim *sim)
-{
-  guint n = 0;
-  for (guint i = 0; i < sim->machines->len; i++)
-    {
-      const SimMachine *machine = sim->machines->pdata[i];
-      for (guint k = 0; k < machine->tasks->len && !machine->gone; k++)
-        n += ((SimTask *) machine->tasks->pdata[k])->state == 2;
-    }
-  return n;
-}
-
 static guint
 alive (Sim *sim)
 {
@@ -141,7 +128,7 @@
 test_begin_anew (void)
 {
   Sim *sim = large_fleet (13, MACHINES, 200, 100);
-  guint rows, requests, work = running (sim);
+  guint rows, requests, work = tasks_running (sim);
   double began;
   for (guint i = 0; i < SIM_NODES; i++)
     sim_crash (sim, i);
@@ -162,7 +149,7 @@
   /* Nothing that ran was lost: no lease has ended. */
   for (guint i = 0; i < sim->machines->len; i++)
     g_assert_cmpuint (((SimMachine *) sim->machines->pdata[i])->session, ==, 1);
-  g_assert_cmpuint (running (sim), >, work / 2);
+  g_assert_cmpuint (tasks_running (sim), >, work / 2);
   expect_no_fault (sim, "begin anew", 0);
   sim_run (sim, 700);
   expect_all_over (sim, "begin anew", 0);
--- a/tests/test-size.c
+++ b/tests/test-size.c
@@ -187,19 +187,6 @@
 
 /* ---- messages ---- */
 
-static guint
-tasks_running (const Sim *sim)
-{
-  guint n = 0;
-  for (guint i = 0; i < sim->machines->len; i++)
-    {
-      const SimMachine *machine = sim->machines->pdata[i];
-      for (guint k = 0; k < machine->tasks->len && !machine->gone; k++)
-        n += ((SimTask *) machine->tasks->pdata[k])->state == 2;
-    }
-  return n;
-}
-
 /* More jobs run than fit any message: every controller shows all of them all the same. */
 static void
 test_many_jobs (void)
