--- a/tests/test-size.c
+++ b/tests/test-size.c
@@ -168,6 +168,7 @@
   g_test_message ("%u machines, seed %u: %u are up after %g s, by %u calls", machines, seed, up, UP_BY_S, sim->rentals);
   expect_no_fault (sim, "from none", seed);
   g_assert_cmpuint (up, >, machines * 9 / 10);
+  /* Fails at seed 810, see docs/results.md: jobs count as left waiting while the fleet is full. */
   if (g_test_slow ())
     finish (sim, "from none", seed);
   else
