--- a/src/admin.c
+++ b/src/admin.c
@@ -1,6 +1,7 @@
 /* The operators' side, under one versioned prefix, in the look of the user API. What belongs to a tenant has the
  * tenant in its path; there is one so far. */
 #include "controller.h"
+#include "reconciliation/reconciliation-admin.h"
 
 #include <math.h>
 #include <string.h>
@@ -365,6 +366,8 @@
           reply_json (exchange, 200, views[i].view (controller));
         return TRUE;
       }
+  if (hzb_reconciliation_admin_request (controller, exchange, what))
+    return TRUE;
   if (g_str_has_prefix (what, TENANT "jobs/"))
     {
       const HzbJob *job = hzb_jobs_find (controller->jobs, what + strlen (TENANT "jobs/"));
@@ -386,8 +389,9 @@
         drain (controller, exchange, name);
     }
   else
-    refuse (exchange, 404,
-            "there are leadership, settings, metrics, machines, machines/NAME/drain, blocks, " TENANT "teams, " TENANT
-            "jobs and " TENANT "jobs/ID here");
+    refuse (
+        exchange, 404,
+        "there are leadership, settings, metrics, machines, machines/NAME/drain, blocks, reconciliation, reconciliations, " TENANT
+        "teams, " TENANT "jobs and " TENANT "jobs/ID here");
   return TRUE;
 }
--- a/src/autoscaler.c
+++ b/src/autoscaler.c
@@ -551,7 +551,7 @@
   for (guint i = 0; i < autoscaler->machines->all->len; i++)
     {
       HzbMachine *machine = autoscaler->machines->all->pdata[i];
-      if (machine->to_be_returned || machine->reserved)
+      if (machine->to_be_returned || machine->reserved || machine->quarantined)
         continue;
       if (machine->spare && hzb_machine_listed (machine))
         hzb_machine_empty_lists (autoscaler->jobs, machine);
--- a/src/block-delegation.c
+++ b/src/block-delegation.c
@@ -56,7 +56,7 @@
   for (guint i = 0; i < controller->jobs->active->len; i++)
     {
       HzbJob *job = controller->jobs->active->pdata[i];
-      if (hzb_job_is_delegable (job) && (job->pending || job->listed) && !job->failures
+      if (hzb_job_is_delegable (job) && !job->awaits_verdict && (job->pending || job->listed) && !job->failures
           && !hzb_time_before (now, job->not_before))
         g_ptr_array_add (order, job);
     }
@@ -69,6 +69,7 @@
       if (holds && job->cursor >= job->released)
         job->release_requested = TRUE;
       while (holds && n < MOST_PER_ANSWER && job->spec->cpus <= room_cpus
+             && hzb_dispatch_pace_allows (controller->dispatch, job)
              && hzb_dispatch_team_may_use (controller->dispatch, job))
         {
           HzbTask *task = next_to_delegate (controller, job, &at, now);
--- a/src/block-machines.c
+++ b/src/block-machines.c
@@ -180,7 +180,7 @@
 
   hzb_blocks_survey (leases, hzb_clock_now (controller->clock));
   if ((machine->state != HZB_MACHINE_BOOTING && machine->state != HZB_MACHINE_ACTIVE) || machine->tasks->len
-      || hzb_machine_listed (machine) || !may_lease (leases, machine))
+      || hzb_machine_listed (machine) || machine->quarantined || !may_lease (leases, machine))
     return NULL;
   best = smallest_lessee (leases, machine, 1, hzb_clock_now (controller->clock));
   if (!best)
@@ -204,15 +204,15 @@
   /* Nothing waits for the takeover to be over: this machine has just shown all that is on it. */
   if (controller->dispatch->lag_s < LATE_S || hzb_time_before (now, leases->next_hand_over)
       || machine->tasks->len > MOST_HANDED_OVER || machine->state != HZB_MACHINE_ACTIVE || !machine->verified
-      || !machine->recorded || machine->ignored_answers || !may_lease (leases, machine)
+      || !machine->recorded || machine->ignored_answers || machine->quarantined || !may_lease (leases, machine)
       || !hzb_election_lease_valid (controller->election))
     return NULL;
   for (guint i = 0; i < machine->tasks->len; i++)
     {
       const HzbTask *task = machine->tasks->pdata[i];
-      if (task->stopping || task->state == HZB_TASK_BOOKED || task->state == HZB_TASK_SAVING || task->job->spec->gang
-          || task->job->spec->service || task->job->spec->same_zone || task->job->spec->spread
-          || task->job->state != HZB_JOB_ACCEPTED)
+      if (task->stopping || task->job->awaits_verdict || task->state == HZB_TASK_BOOKED
+          || task->state == HZB_TASK_SAVING || task->job->spec->gang || task->job->spec->service
+          || task->job->spec->same_zone || task->job->spec->spread || task->job->state != HZB_JOB_ACCEPTED)
         return NULL;
     }
   best = smallest_lessee (leases, machine, UNLEVEL, now);
--- a/src/controller.c
+++ b/src/controller.c
@@ -177,6 +177,7 @@
     {
       HzbItem *item = &g_array_index (items, HzbItem, i);
       hzb_records_load (controller->records, item);
+      hzb_reconciliation_load (controller->reconciliation, item);
       g_free (controller->owner_load_cursor);
       controller->owner_load_cursor = g_strdup (item->key);
     }
@@ -186,6 +187,7 @@
       return;
     }
   hzb_records_load_finished (controller->records);
+  hzb_reconciliation_loaded (controller->reconciliation);
   controller->owner_since = hzb_clock_now (controller->clock);
   set_ownership (controller, HZB_OWNERSHIP_RECOVERING, "the records have been read");
 }
@@ -205,6 +207,7 @@
   controller->block = hzb_block_new (controller->settings, hzb_token (hzb_election_term (controller->election), 0));
   hzb_leases_reset (controller->leases);
   hzb_records_reset (controller->records);
+  hzb_reconciliation_reset (controller->reconciliation);
   hzb_old_ends_reset (controller->old_ends);
   hzb_provisioning_reset (controller->provisioning);
   g_clear_pointer (&controller->owner_load_cursor, g_free);
@@ -220,6 +223,7 @@
   controller->ownership_epoch++;
   set_ownership (controller, HZB_OWNERSHIP_NONE, "not the leader any more");
   hzb_records_reset (controller->records);
+  hzb_reconciliation_reset (controller->reconciliation);
   hzb_old_ends_reset (controller->old_ends);
   hzb_jobs_end_ownership (controller->jobs);
   hzb_machines_clear (controller->machines);
@@ -500,6 +504,8 @@
   controller->provisioning = hzb_provisioning_new (controller);
   controller->records = hzb_records_new (controller);
   controller->old_ends = hzb_old_ends_new (controller);
+  controller->reconciliation = hzb_reconciliation_new (controller);
+  controller->dispatch->pacing = hzb_reconciliation_pacing (controller->reconciliation);
   return controller;
 }
 
@@ -513,6 +519,7 @@
   hzb_peers_free (controller->peers);
   hzb_records_free (controller->records);
   hzb_old_ends_free (controller->old_ends);
+  hzb_reconciliation_free (controller->reconciliation);
   hzb_metrics_free (controller->metrics);
   g_free (controller->incarnation);
   hzb_jobs_end_ownership (controller->jobs);
--- a/src/controller.h
+++ b/src/controller.h
@@ -15,6 +15,7 @@
 #include "owner.h"
 #include "peers.h"
 #include "provisioning.h"
+#include "reconciliation/reconciliation.h"
 #include "records.h"
 #include "store.h"
 #include "user-api.h"
@@ -68,6 +69,7 @@
   guint format; /* of records and messages, that this process says it reads */
   HzbPeers *peers;
   HzbProvisioning *provisioning;
+  HzbReconciliation *reconciliation;
 
   HzbHttpServer *api_server, *peer_server; /* NULL in tests: for what they count */
 
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -263,7 +263,7 @@
     {
       HzbJob *job = dispatch->jobs->active->pdata[i];
       guint at, waiting;
-      if (job->state != HZB_JOB_ACCEPTED || !(job->pending || job->listed))
+      if (job->state != HZB_JOB_ACCEPTED || job->awaits_verdict || !(job->pending || job->listed))
         continue;
       g_ptr_array_add (order, job);
       dispatch->gang_waits = dispatch->gang_waits || job->spec->gang;
@@ -334,6 +334,8 @@
   guint at = (guint) job->team * HZB_N_LEVELS + job->level;
   dispatch->ahead_cpus[at] = MAX (0, dispatch->ahead_cpus[at] - job->spec->cpus);
   dispatch->ahead_gpus[at] = MAX (0, dispatch->ahead_gpus[at] - job->spec->gpus);
+  if (dispatch->pacing)
+    hzb_pacing_take (dispatch->pacing);
 }
 
 /* Something that waits could fit. */
@@ -343,11 +345,28 @@
   return machine->cpus + dispatch->least_cpus <= machine->type->cpus + 1e-6;
 }
 
+static HzbPacingClass
+pacing_class (guint level)
+{
+  return level >= HZB_LEVEL_URGENT            ? HZB_PACING_URGENT
+         : level >= HZB_LEVEL_GUARANTEED_IDLE ? HZB_PACING_GUARANTEED
+                                              : HZB_PACING_OTHER;
+}
+
+gboolean
+hzb_dispatch_pace_allows (const HzbDispatch *dispatch, const HzbJob *job)
+{
+  return !dispatch->pacing || hzb_pacing_allows (dispatch->pacing, pacing_class (job->level));
+}
+
 static gboolean
 may_start (HzbDispatch *dispatch, const HzbTask *task, const HzbMachine *machine)
 {
-  return task->job->state == HZB_JOB_ACCEPTED && hzb_dispatch_team_may_use (dispatch, task->job)
-         && hzb_zone_allowed (task->job, machine);
+  if (!hzb_dispatch_pace_allows (dispatch, task->job)
+      || (dispatch->pacing && hzb_pacing_answer_full (dispatch->pacing)))
+    return FALSE;
+  return task->job->state == HZB_JOB_ACCEPTED && !task->job->awaits_verdict
+         && hzb_dispatch_team_may_use (dispatch, task->job) && hzb_zone_allowed (task->job, machine);
 }
 
 static void
@@ -451,6 +470,8 @@
 {
   if (!hzb_machine_usable (machine))
     return;
+  if (dispatch->pacing)
+    hzb_pacing_begin_answer (dispatch->pacing);
   /* Places held for gangs come first: they were counted as taken when they were booked. Guards against one that was
    * cancelled since, and whose places the owner has not given up yet. */
   for (guint i = 0; i < machine->tasks->len; i++)
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -2,6 +2,7 @@
  * a machine's report is answered with the starts that fit. No I/O, no clock of its own. */
 #pragma once
 #include "machines.h"
+#include "reconciliation/pacing.h"
 
 typedef struct
 {
@@ -23,6 +24,7 @@
   gboolean gang_waits;
   double least_cpus; /* of a waiting task: a machine with less than that free needs no look */
   guint examined;    /* machines looked at so far, for tests */
+  HzbPacing *pacing; /* (nullable): how fast tasks may be started after a cold start */
 } HzbDispatch;
 
 HzbDispatch *hzb_dispatch_new (HzbJobs *jobs, HzbMachines *machines, const HzbSettings *settings, GRand *rand);
@@ -47,3 +49,6 @@
 /* One more task of the job may be started: its team's limit allows it, besides what goes first. */
 gboolean hzb_dispatch_team_may_use (HzbDispatch *dispatch, const HzbJob *job);
 void hzb_dispatch_note_started (HzbDispatch *dispatch, const HzbJob *job); /* one more was */
+
+/** hzb_dispatch_pace_allows: after a cold start, one more task of the job may be started, or delegated, now. */
+gboolean hzb_dispatch_pace_allows (const HzbDispatch *dispatch, const HzbJob *job);
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -17,7 +17,7 @@
   job->finished = job->done = job->released = job->releasing = 0;
   job->dirty = job->ending = job->on_pages = job->unsplit = job->release_requested = job->announced_to_lessees = FALSE;
   job->failures = job->begun = 0;
-  job->failed_on_several = job->did_well = FALSE;
+  job->failed_on_several = job->did_well = job->awaits_verdict = FALSE;
   g_clear_pointer (&job->failed_on, g_free);
   job->waits_since = (struct timespec){ 0 };
 }
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -61,6 +61,8 @@
   gboolean unsplit;           /* in parts that only a version 1 writes; they can't be changed while one is about */
   gboolean release_requested; /* a machine could take more of it than is released */
   gboolean guaranteed, announced_to_lessees;
+  gboolean
+      awaits_verdict; /* after a cold start: no command is given for it until its fate is durable, see reconciliation.h */
   gboolean start_overdue; /* nothing of it has started for long: its first task goes before others */
   guint8 level;           /* of waiting work, see hzb_levels_update() */
   guint64 next_attempt;
--- a/src/machines.h
+++ b/src/machines.h
@@ -59,6 +59,7 @@
   gboolean verified; /* a report sent under our token has come */
   gboolean
       known_to_cloud; /* rented by us, on record, or in the cloud's list: a report alone may be a copy of one long gone */
+  guint quarantined;     /* tasks that its last report showed, which no record names and which are left alone */
   guint ignored_answers; /* reports in a row that show none of the starts that they should */
   gboolean unreachable;  /* answers do not seem to reach it; it takes no work until it shows the token raised since */
   struct timespec unreachable_since;
--- a/src/main.c
+++ b/src/main.c
@@ -1,4 +1,5 @@
 #include "controller.h"
+#include "reconciliation/report.h"
 
 #include <malloc.h>
 #include <stdlib.h>
@@ -54,6 +55,59 @@
   return TRUE;
 }
 
+/* What the command line says. */
+typedef struct
+{
+  char *config, *features, *archive, *html;
+  gboolean version, check;
+} Options;
+
+/* An archive for an operator: text on standard output, or a page in a file. Returns: the exit status. */
+static int
+show_archive (const Options *options)
+{
+  g_autoptr (GError) error = NULL;
+  g_autoptr (HzbArchive) archive = hzb_archive_read_file (options->archive, &error);
+  g_autofree char *text = NULL;
+
+  if (!archive)
+    {
+      g_printerr ("hazelbank: %s: %s\n", options->archive, error->message);
+      return 1;
+    }
+  if (!options->html)
+    {
+      text = hzb_report_text (archive);
+      g_print ("%s", text);
+      return 0;
+    }
+  text = hzb_report_html (archive);
+  if (g_file_set_contents (options->html, text, -1, &error))
+    return 0;
+  g_printerr ("hazelbank: %s\n", error->message);
+  return 1;
+}
+
+/* Returns: (transfer full) (nullable): the settings with the features that are on; NULL, with a message, if they are wrong */
+static HzbSettings *
+load_settings (const Options *options)
+{
+  g_autoptr (GError) error = NULL;
+  g_autoptr (HzbSettings) settings = hzb_settings_load (options->config, &error);
+
+  if (!settings)
+    {
+      g_printerr ("hazelbank: %s: the settings can't be used:\n%s\n", options->config, error->message);
+      return NULL;
+    }
+  if (options->features && !hzb_settings_load_features (settings, options->features, &error))
+    {
+      g_printerr ("hazelbank: %s: the features can't be used:\n%s\n", options->features, error->message);
+      return NULL;
+    }
+  return g_steal_pointer (&settings);
+}
+
 static gboolean
 on_tick (gpointer controller)
 {
@@ -64,12 +118,16 @@
 int
 main (int argc, char **argv)
 {
-  g_autofree char *config = NULL;
-  gboolean version = FALSE, check = FALSE;
+  Options options = { 0 };
   const GOptionEntry entries[] = {
-    { "config", 0, 0, G_OPTION_ARG_FILENAME, &config, "Settings file of the platform (TOML)", "FILE" },
-    { "check-config", 0, 0, G_OPTION_ARG_NONE, &check, "Check the settings file and exit", NULL },
-    { "version", 0, 0, G_OPTION_ARG_NONE, &version, "Print the version and exit", NULL },
+    { "config", 0, 0, G_OPTION_ARG_FILENAME, &options.config, "Settings file of the platform (TOML)", "FILE" },
+    { "features", 0, 0, G_OPTION_ARG_FILENAME, &options.features, "Which features are on (TOML), see deploy/", "FILE" },
+    { "check-config", 0, 0, G_OPTION_ARG_NONE, &options.check, "Check these files and exit", NULL },
+    { "show-reconciliation", 0, 0, G_OPTION_ARG_FILENAME, &options.archive, "Show an archive as text and exit",
+      "FILE" },
+    { "html", 0, 0, G_OPTION_ARG_FILENAME, &options.html, "Write the archive to this file, as a page with plots",
+      "FILE" },
+    { "version", 0, 0, G_OPTION_ARG_NONE, &options.version, "Print the version and exit", NULL },
     { NULL, 0, 0, 0, NULL, NULL, NULL },
   };
   g_autoptr (GOptionContext) context = g_option_context_new ("- cluster scheduler");
@@ -91,26 +149,25 @@
       g_printerr ("hazelbank: %s\nSee hazelbank --help.\n", error->message);
       return 2;
     }
-  if (version)
+  if (options.version)
     {
       g_print ("hazelbank %s\n", HZB_VERSION);
       return 0;
     }
-  if (!config || argc > 1)
+  if (options.archive && argc == 1)
+    return show_archive (&options);
+  if (!options.config || argc > 1)
     {
       g_printerr ("hazelbank: %s\nSee hazelbank --help.\n",
-                  config ? "there are words left over on the command line" : "--config FILE is needed");
+                  options.config ? "there are words left over on the command line" : "--config FILE is needed");
       return 2;
     }
-  settings = hzb_settings_load (config, &error);
+  settings = load_settings (&options);
   if (!settings)
+    return 1;
+  if (options.check)
     {
-      g_printerr ("hazelbank: %s: the settings can't be used:\n%s\n", config, error->message);
-      return 1;
-    }
-  if (check)
-    {
-      g_print ("%s: the settings are in order\n", config);
+      g_print ("%s: the settings are in order\n", options.config);
       return 0;
     }
   if (!raise_descriptor_limit (settings))
--- a/src/owner.c
+++ b/src/owner.c
@@ -173,7 +173,8 @@
       for (guint i = 0; i < controller->jobs->active->len; i++)
         {
           HzbJob *job = controller->jobs->active->pdata[i];
-          if (job->unknown && !hzb_job_may_run_on_unverified (job, unverified))
+          if (job->unknown && hzb_reconciliation_may_resolve (controller->reconciliation, job)
+              && !hzb_job_may_run_on_unverified (job, unverified))
             hzb_job_resolve_unknown (controller->jobs, job, block);
         }
       if (block == HZB_UNKNOWN_TASKS_OF_LEADER && controller->ownership == HZB_OWNERSHIP_RECOVERING && !unverified->len)
@@ -184,6 +185,7 @@
 void
 hzb_owner_tick (HzbController *controller, struct timespec now)
 {
+  hzb_reconciliation_tick (controller->reconciliation, now);
   if (!hzb_time_before (now, controller->next_survey))
     {
       controller->next_survey = hzb_time_plus (now, hzb_machines_survey_s (controller->machines));
--- a/src/peers.c
+++ b/src/peers.c
@@ -176,6 +176,12 @@
   return !view || silence (peers, view) > 3;
 }
 
+const char *
+hzb_peers_incarnation (HzbPeers *peers, const char *node)
+{
+  return hzb_peers_unreachable (peers, node) ? NULL : view_of (peers, node)->incarnation;
+}
+
 guint
 hzb_peers_format (HzbPeers *peers, const char *node)
 {
--- a/src/peers.h
+++ b/src/peers.h
@@ -41,6 +41,9 @@
 /** hzb_peers_unreachable: no heartbeat of this node lately, or there is no node of that name. */
 gboolean hzb_peers_unreachable (HzbPeers *peers, const char *node);
 
+/** hzb_peers_incarnation: Returns: (nullable): which process of the node was heard lately */
+const char *hzb_peers_incarnation (HzbPeers *peers, const char *node);
+
 /** hzb_peers_format: the format of records and messages that the node last stated; 1 if it is unreachable or stated none. */
 guint hzb_peers_format (HzbPeers *peers, const char *node);
 
--- a/src/preemption.c
+++ b/src/preemption.c
@@ -76,7 +76,7 @@
 stop_cost (const HzbTask *task, struct timespec now)
 {
   const HzbSpec *spec = task->job->spec;
-  if (task->stopping || spec->gang || spec->service
+  if (task->stopping || task->job->awaits_verdict || spec->gang || spec->service
       || (task->state != HZB_TASK_RUNNING && task->state != HZB_TASK_FETCHING))
     return INFINITY;
   if (task->state == HZB_TASK_FETCHING)
@@ -225,7 +225,7 @@
       const HzbTask *task = machine->tasks->pdata[i];
       if (task->job->spec->service)
         return -1; /* a move costs it more than the machine does */
-      if (hzb_task_remaining_s (task, now) < MOVE_LEFT_S || task->stopping)
+      if (hzb_task_remaining_s (task, now) < MOVE_LEFT_S || task->stopping || task->job->awaits_verdict)
         continue;
       if (task->job->spec->checkpoint_s <= 0 || task->job->spec->gang || task->state != HZB_TASK_RUNNING
           || hzb_time_between (task->since, now) < MOVE_LEFT_S)
--- a/src/provisioning.c
+++ b/src/provisioning.c
@@ -102,7 +102,11 @@
   for (guint i = 0; i < rentals->len; i++)
     {
       const HzbRental *rental = &g_array_index (rentals, HzbRental, i);
-      RentCall *call = g_new0 (RentCall, 1);
+      RentCall *call;
+      if (!hzb_reconciliation_may_rent (controller->reconciliation, now))
+        return; /* asked for again with the next plan */
+      hzb_reconciliation_note_rentals (controller->reconciliation, rental->count);
+      call = g_new0 (RentCall, 1);
       call->epoch_call.controller = controller;
       call->epoch_call.epoch = controller->ownership_epoch;
       /* Terms are never used twice, so neither is a name. */
--- /dev/null
+++ b/src/reconciliation/archive-store.c
@@ -0,0 +1,352 @@
+#include "archive-store.h"
+
+#include "controller.h"
+
+#define KEY_ARCHIVES "hzb/o/reconciliations/"
+#define KEY_INDEX KEY_ARCHIVES "index"
+#define PART_OF_VALUE 0.85 /* of what a value may have: the rest is JSON around it */
+#define TXN_BYTES 40000u
+#define INDEX_BYTES 64u /* of an entry */
+#define MOST_PARTS 9999
+
+/* One archive that is kept. */
+typedef struct
+{
+  guint64 id;
+  guint parts;
+} IndexEntry;
+
+/* The writing of one archive: first its parts, then the index, with the removal of those that it does not name. */
+typedef struct
+{
+  guint64 id;
+  GPtrArray *parts; /* char*, base 64 */
+  guint written;
+  gboolean index_known;
+  guint64 index_version;
+  GArray *index; /* IndexEntry, oldest first */
+  HzbArchiveWritten done;
+  gpointer user;
+} WriteCall;
+
+struct _HzbArchiveStore
+{
+  HzbController *controller;
+};
+
+HzbArchiveStore *
+hzb_archive_store_new (HzbController *controller)
+{
+  HzbArchiveStore *store = g_new0 (HzbArchiveStore, 1);
+  store->controller = controller;
+  return store;
+}
+
+void
+hzb_archive_store_free (HzbArchiveStore *store)
+{
+  g_free (store);
+}
+
+static char *
+part_key (guint64 id, guint part)
+{
+  return g_strdup_printf (KEY_ARCHIVES "%020" G_GUINT64_FORMAT "/%04u", id, part);
+}
+
+/* ---- the index ---- */
+
+static GArray *
+index_decode (const cJSON *value)
+{
+  GArray *index = g_array_new (FALSE, TRUE, sizeof (IndexEntry));
+  const cJSON *item;
+
+  cJSON_ArrayForEach (item, cJSON_GetObjectItemCaseSensitive (value, "archives"))
+    {
+      IndexEntry entry = { hzb_json_u64 (item, "id"),
+                           (guint) CLAMP (hzb_json_number (item, "parts", 0), 0, MOST_PARTS) };
+      if (entry.id)
+        g_array_append_val (index, entry);
+    }
+  return index;
+}
+
+static cJSON *
+index_encode (const GArray *index)
+{
+  cJSON *value = cJSON_CreateObject (), *list;
+
+  cJSON_AddNumberToObject (value, "format", HZB_RECONCILIATION_FORMAT);
+  list = cJSON_AddArrayToObject (value, "archives");
+  for (guint i = 0; i < index->len; i++)
+    {
+      const IndexEntry *entry = &g_array_index (index, IndexEntry, i);
+      cJSON *item = cJSON_CreateObject ();
+      hzb_json_add_u64 (item, "id", entry->id);
+      cJSON_AddNumberToObject (item, "parts", entry->parts);
+      cJSON_AddItemToArray (list, item);
+    }
+  return value;
+}
+
+/* ---- writing ---- */
+
+static void
+write_call_finish (HzbEpochCall *epoch_call, gboolean done)
+{
+  WriteCall *call = epoch_call->data;
+  if (epoch_call->epoch == epoch_call->controller->ownership_epoch)
+    call->done (done, call->user);
+  g_ptr_array_unref (call->parts);
+  if (call->index)
+    g_array_unref (call->index);
+  g_free (call);
+  g_free (epoch_call);
+}
+
+static void write_next (HzbEpochCall *epoch_call);
+
+static void
+on_index_read (HzbStoreResult result, const char *body, gpointer user)
+{
+  HzbEpochCall *epoch_call = user;
+  WriteCall *call = epoch_call->data;
+  HzbItem item = { 0 };
+
+  if (result != HZB_STORE_ABSENT && (result != HZB_STORE_OK || !hzb_wire_parse_item (body, &item)))
+    {
+      write_call_finish (epoch_call, FALSE);
+      return;
+    }
+  call->index = index_decode (item.value);
+  call->index_version = item.version;
+  call->index_known = TRUE;
+  hzb_item_clear (&item);
+  write_next (epoch_call);
+}
+
+static void
+on_part_written (HzbStoreResult result, const char *body, gpointer user)
+{
+  HzbEpochCall *epoch_call = user;
+
+  if (result != HZB_STORE_OK || epoch_call->epoch != epoch_call->controller->ownership_epoch)
+    write_call_finish (epoch_call, FALSE);
+  else
+    write_next (epoch_call);
+}
+
+static void
+on_index_written (HzbStoreResult result, const char *body, gpointer user)
+{
+  write_call_finish (user, result == HZB_STORE_OK);
+}
+
+static void
+write_parts (HzbEpochCall *epoch_call)
+{
+  HzbController *controller = epoch_call->controller;
+  WriteCall *call = epoch_call->data;
+  cJSON *txn = hzb_wire_txn ();
+  gsize bytes = 0;
+  guint room = controller->settings->store_txn_ops;
+
+  hzb_election_add_condition (controller->election, txn);
+  for (; call->written < call->parts->len && room; call->written++, room--)
+    {
+      const char *text = call->parts->pdata[call->written];
+      g_autofree char *key = part_key (call->id, call->written);
+      cJSON *value;
+      if (bytes && bytes + strlen (text) > TXN_BYTES)
+        break;
+      bytes += strlen (text);
+      value = cJSON_CreateObject ();
+      cJSON_AddStringToObject (value, "data", text);
+      cJSON_AddNumberToObject (value, "of", call->parts->len);
+      hzb_wire_txn_put (txn, key, value, 0);
+    }
+  hzb_store_txn (controller->store, HZB_STORE_RECORD, txn, on_part_written, epoch_call);
+}
+
+/* The oldest goes once there are too many; what doesn't fit this transaction goes with the next archive. */
+static void
+write_index (HzbEpochCall *epoch_call)
+{
+  HzbController *controller = epoch_call->controller;
+  const HzbSettings *settings = controller->settings;
+  WriteCall *call = epoch_call->data;
+  IndexEntry added = { call->id, call->parts->len };
+  guint keep = (guint) MIN (settings->reconciliation.keep, settings->store_value_kb * 1024 / INDEX_BYTES);
+  guint room = settings->store_txn_ops - 1;
+  cJSON *txn = hzb_wire_txn ();
+
+  for (guint i = call->index->len; i-- > 0;)
+    if (g_array_index (call->index, IndexEntry, i).id == call->id)
+      {
+        /* An earlier leader may have written more parts of it. */
+        added.parts = MAX (added.parts, g_array_index (call->index, IndexEntry, i).parts);
+        g_array_remove_index (call->index, i);
+      }
+  g_array_append_val (call->index, added);
+  hzb_election_add_condition (controller->election, txn);
+  hzb_wire_txn_if (txn, KEY_INDEX, call->index_version);
+  while (call->index->len > keep && room)
+    {
+      IndexEntry *oldest = &g_array_index (call->index, IndexEntry, 0);
+      for (; oldest->parts && room; room--)
+        {
+          g_autofree char *key = part_key (oldest->id, --oldest->parts);
+          hzb_wire_txn_delete (txn, key);
+        }
+      if (oldest->parts)
+        break;
+      g_array_remove_index (call->index, 0);
+    }
+  hzb_wire_txn_put (txn, KEY_INDEX, index_encode (call->index), 0);
+  hzb_store_txn (controller->store, HZB_STORE_RECORD, txn, on_index_written, epoch_call);
+}
+
+static void
+write_next (HzbEpochCall *epoch_call)
+{
+  HzbController *controller = epoch_call->controller;
+  WriteCall *call = epoch_call->data;
+
+  if (call->written < call->parts->len)
+    write_parts (epoch_call);
+  else if (!call->index_known)
+    hzb_store_get (controller->store, HZB_STORE_RECORD, KEY_INDEX, on_index_read, epoch_call);
+  else
+    write_index (epoch_call);
+}
+
+void
+hzb_archive_store_write (HzbArchiveStore *store, guint64 id, GBytes *bytes, HzbArchiveWritten written, gpointer user)
+{
+  HzbController *controller = store->controller;
+  WriteCall *call = g_new0 (WriteCall, 1);
+  gsize length, part = (gsize) (controller->settings->store_value_kb * 1024 * PART_OF_VALUE);
+  const guchar *data = g_bytes_get_data (bytes, &length);
+  g_autofree char *text = g_base64_encode (data, length);
+
+  call->id = id;
+  call->done = written;
+  call->user = user;
+  call->parts = g_ptr_array_new_with_free_func (g_free);
+  for (gsize at = 0; at < strlen (text); at += part)
+    g_ptr_array_add (call->parts, g_strndup (text + at, part));
+  write_next (hzb_epoch_call_new (controller, call));
+}
+
+/* ---- reading ---- */
+
+typedef struct
+{
+  HzbArchiveStore *store;
+  guint64 id;      /* 0: the list */
+  guint parts, of; /* read so far; that there are */
+  GString *text;
+  HzbArchiveRead done;
+  gpointer user;
+} ReadCall;
+
+static void
+read_call_finish (ReadCall *call, guint status, char *body)
+{
+  call->done (status, body, call->user);
+  g_string_free (call->text, TRUE);
+  g_free (call);
+}
+
+static char *
+print_and_free (cJSON *root)
+{
+  char *text = cJSON_PrintUnformatted (root);
+  cJSON_Delete (root);
+  return text;
+}
+
+static void
+finish_archive (ReadCall *call)
+{
+  cJSON *root = cJSON_CreateObject ();
+  hzb_json_add_u64 (root, "id", call->id);
+  cJSON_AddStringToObject (root, "archive", call->text->str);
+  read_call_finish (call, 200, print_and_free (root));
+}
+
+static void on_part_read (HzbStoreResult result, const char *body, gpointer user);
+
+static void
+read_part (ReadCall *call)
+{
+  g_autofree char *key = part_key (call->id, call->parts);
+  hzb_store_get (call->store->controller->store, HZB_STORE_READ, key, on_part_read, call);
+}
+
+static void
+on_part_read (HzbStoreResult result, const char *body, gpointer user)
+{
+  ReadCall *call = user;
+  HzbItem item = { 0 };
+
+  if (result == HZB_STORE_ABSENT)
+    read_call_finish (call, 404, hzb_wire_error ("no such archive"));
+  else if (result != HZB_STORE_OK || !hzb_wire_parse_item (body, &item))
+    read_call_finish (call, 503, hzb_wire_error ("the state service can't be asked"));
+  else
+    {
+      const char *data = hzb_json_text (item.value, "data");
+      g_string_append (call->text, data ? data : "");
+      if (!call->parts++)
+        call->of = (guint) CLAMP (hzb_json_number (item.value, "of", 1), 1, MOST_PARTS);
+      hzb_item_clear (&item);
+      if (call->parts < call->of)
+        read_part (call);
+      else
+        finish_archive (call);
+    }
+}
+
+static void
+on_list_read (HzbStoreResult result, const char *body, gpointer user)
+{
+  ReadCall *call = user;
+  HzbItem item = { 0 };
+  g_autoptr (GArray) index = NULL;
+
+  if (result != HZB_STORE_ABSENT && (result != HZB_STORE_OK || !hzb_wire_parse_item (body, &item)))
+    {
+      read_call_finish (call, 503, hzb_wire_error ("the state service can't be asked"));
+      return;
+    }
+  index = index_decode (item.value);
+  hzb_item_clear (&item);
+  read_call_finish (call, 200, print_and_free (index_encode (index)));
+}
+
+static ReadCall *
+read_call_new (HzbArchiveStore *store, guint64 id, HzbArchiveRead done, gpointer user)
+{
+  ReadCall *call = g_new0 (ReadCall, 1);
+  call->store = store;
+  call->id = id;
+  call->text = g_string_new (NULL);
+  call->done = done;
+  call->user = user;
+  return call;
+}
+
+void
+hzb_archive_store_list (HzbArchiveStore *store, HzbArchiveRead read, gpointer user)
+{
+  hzb_store_get (store->controller->store, HZB_STORE_READ, KEY_INDEX, on_list_read,
+                 read_call_new (store, 0, read, user));
+}
+
+void
+hzb_archive_store_read (HzbArchiveStore *store, guint64 id, HzbArchiveRead read, gpointer user)
+{
+  read_part (read_call_new (store, id, read, user));
+}
--- /dev/null
+++ b/src/reconciliation/codec.c
@@ -0,0 +1,193 @@
+#include "codec.h"
+
+#include "wire.h"
+
+#define ENTRY_BYTES 48u /* of a verdict, beside the job's id */
+
+/* Positions in a verdict's row. */
+enum
+{
+  ROW_VERDICT,
+  ROW_REASON,
+  ROW_FOUND,
+  ROW_RESULTS,
+  ROW_RESTARTED,
+  ROW_LENGTH
+};
+
+GQuark
+hzb_reconciliation_error_quark (void)
+{
+  return g_quark_from_static_string ("hzb-reconciliation-error");
+}
+
+static gboolean
+malformed (GError **error, const char *what)
+{
+  g_set_error (error, HZB_RECONCILIATION_ERROR, HZB_RECONCILIATION_ERROR_MALFORMED, "%s", what);
+  return FALSE;
+}
+
+gboolean
+hzb_reconciliation_check_format (const cJSON *value, GError **error)
+{
+  double format = hzb_json_number (value, "format", 0);
+
+  if (format > HZB_RECONCILIATION_FORMAT)
+    {
+      g_set_error (error, HZB_RECONCILIATION_ERROR, HZB_RECONCILIATION_ERROR_FUTURE_FORMAT,
+                   "format %g is of a later version; this one reads up to %u", format, HZB_RECONCILIATION_FORMAT);
+      return FALSE;
+    }
+  return format == HZB_RECONCILIATION_FORMAT || malformed (error, "no format is stated");
+}
+
+cJSON *
+hzb_reconciliation_record_encode (const HzbReconciliationRecord *record)
+{
+  cJSON *value = cJSON_CreateObject ();
+  cJSON_AddNumberToObject (value, "format", HZB_RECONCILIATION_FORMAT);
+  hzb_json_add_u64 (value, "id", record->id);
+  hzb_json_add_u64 (value, "term", record->term);
+  cJSON_AddNumberToObject (value, "starts", record->starts);
+  cJSON_AddNumberToObject (value, "began", record->began);
+  return value;
+}
+
+gboolean
+hzb_reconciliation_record_decode (const cJSON *value, HzbReconciliationRecord *record, GError **error)
+{
+  if (!hzb_reconciliation_check_format (value, error))
+    return FALSE;
+  record->id = hzb_json_u64 (value, "id");
+  record->term = hzb_json_u64 (value, "term");
+  record->starts = (guint) CLAMP (hzb_json_number (value, "starts", 0), 0, G_MAXINT32);
+  record->began = hzb_json_number (value, "began", 0);
+  if (!record->id || record->term < record->id || !record->starts)
+    return malformed (error, "the id, the term or the number of starts makes no sense");
+  return TRUE;
+}
+
+static void
+entry_clear (gpointer data)
+{
+  g_free (((HzbVerdictEntry *) data)->uid);
+}
+
+GArray *
+hzb_verdict_entries_new (void)
+{
+  GArray *entries = g_array_new (FALSE, TRUE, sizeof (HzbVerdictEntry));
+  g_array_set_clear_func (entries, entry_clear);
+  return entries;
+}
+
+gsize
+hzb_verdict_entry_bytes (const HzbVerdictEntry *entry)
+{
+  return strlen (entry->uid) + ENTRY_BYTES;
+}
+
+cJSON *
+hzb_verdict_page_new (guint64 id, guint64 term)
+{
+  cJSON *page = cJSON_CreateObject ();
+  cJSON_AddNumberToObject (page, "format", HZB_RECONCILIATION_FORMAT);
+  hzb_json_add_u64 (page, "id", id);
+  hzb_json_add_u64 (page, "term", term);
+  cJSON_AddObjectToObject (page, "jobs");
+  return page;
+}
+
+void
+hzb_verdict_page_add (cJSON *page, const HzbVerdictEntry *entry)
+{
+  cJSON *row = cJSON_AddArrayToObject (cJSON_GetObjectItemCaseSensitive (page, "jobs"), entry->uid);
+  cJSON_AddItemToArray (row, cJSON_CreateString (hzb_job_verdict_name (entry->verdict)));
+  cJSON_AddItemToArray (row, cJSON_CreateNumber (entry->reason));
+  cJSON_AddItemToArray (row, cJSON_CreateNumber (entry->found));
+  cJSON_AddItemToArray (row, cJSON_CreateNumber (entry->results));
+  cJSON_AddItemToArray (row, cJSON_CreateNumber (entry->restarted));
+}
+
+static gboolean
+row_number (const cJSON *row, int at, double most, guint *number)
+{
+  const cJSON *item = cJSON_GetArrayItem (row, at);
+  if (!cJSON_IsNumber (item) || !(item->valuedouble >= 0 && item->valuedouble <= most))
+    return FALSE;
+  *number = (guint) item->valuedouble;
+  return TRUE;
+}
+
+static gboolean
+decode_entry (const cJSON *row, HzbVerdictEntry *entry)
+{
+  guint reason;
+
+  if (cJSON_GetArraySize (row) != ROW_LENGTH
+      || !hzb_job_verdict_from_name (cJSON_GetStringValue (cJSON_GetArrayItem (row, ROW_VERDICT)), &entry->verdict)
+      || entry->verdict == HZB_JOB_VERDICT_HOLD || !row_number (row, ROW_REASON, HZB_JOB_N_REASONS - 1, &reason)
+      || !row_number (row, ROW_FOUND, HZB_MAX_TASKS, &entry->found)
+      || !row_number (row, ROW_RESULTS, HZB_MAX_TASKS, &entry->results)
+      || !row_number (row, ROW_RESTARTED, HZB_MAX_TASKS, &entry->restarted))
+    return FALSE;
+  entry->reason = (HzbJobReason) reason;
+  entry->uid = g_strdup (row->string);
+  return TRUE;
+}
+
+GArray *
+hzb_verdict_page_decode (const cJSON *page, guint64 *id, GError **error)
+{
+  const cJSON *row, *jobs = cJSON_GetObjectItemCaseSensitive (page, "jobs");
+  g_autoptr (GArray) entries = NULL;
+
+  if (!hzb_reconciliation_check_format (page, error))
+    return NULL;
+  *id = hzb_json_u64 (page, "id");
+  if (!*id || !cJSON_IsObject (jobs))
+    {
+      malformed (error, "the id or the list of jobs is missing");
+      return NULL;
+    }
+  entries = hzb_verdict_entries_new ();
+  cJSON_ArrayForEach (row, jobs)
+    {
+      HzbVerdictEntry entry = { 0 };
+      if (!decode_entry (row, &entry))
+        {
+          malformed (error, "a verdict makes no sense");
+          return NULL;
+        }
+      g_array_append_val (entries, entry);
+    }
+  return g_steal_pointer (&entries);
+}
+
+cJSON *
+hzb_kept_encode (GHashTable *kept)
+{
+  cJSON *value = cJSON_CreateObject (), *list;
+  g_autoptr (GList) names = g_list_sort (g_hash_table_get_keys (kept), (GCompareFunc) strcmp);
+  cJSON_AddNumberToObject (value, "format", HZB_RECONCILIATION_FORMAT);
+  list = cJSON_AddArrayToObject (value, "tasks");
+  for (GList *l = names; l; l = l->next)
+    cJSON_AddItemToArray (list, cJSON_CreateString (l->data));
+  return value;
+}
+
+gboolean
+hzb_kept_decode (const cJSON *value, GHashTable *kept, GError **error)
+{
+  const cJSON *item, *list = cJSON_GetObjectItemCaseSensitive (value, "tasks");
+
+  if (!hzb_reconciliation_check_format (value, error))
+    return FALSE;
+  if (!cJSON_IsArray (list))
+    return malformed (error, "the list of tasks is missing");
+  cJSON_ArrayForEach (item, list)
+    if (cJSON_IsString (item))
+      g_hash_table_add (kept, g_strdup (item->valuestring));
+  return TRUE;
+}
--- /dev/null
+++ b/src/reconciliation/pacing.c
@@ -0,0 +1,88 @@
+#include "pacing.h"
+
+#define BURST_S 1.0           /* the bucket holds what is allowed in so long */
+#define LATE_S 0.25           /* timers this late: the processor's share is used up */
+#define LATE_PART 0.5         /* of the rate, then */
+#define GUARANTEED_LEAVES 0.2 /* of the bucket, to urgent work */
+#define OTHER_LEAVES 0.5      /* to urgent and guaranteed work */
+
+void
+hzb_pacing_begin (HzbPacing *pacing, const HzbPacingLimits *limits, struct timespec now)
+{
+  *pacing = (HzbPacing){ .limits = *limits, .active = TRUE, .began = now, .filled = now };
+  pacing->tokens = limits->per_s * BURST_S;
+}
+
+void
+hzb_pacing_end (HzbPacing *pacing)
+{
+  pacing->active = FALSE;
+}
+
+static double
+fill (double tokens, double per_s, double seconds)
+{
+  return MIN (MAX (per_s * BURST_S, 1), tokens + per_s * seconds);
+}
+
+void
+hzb_pacing_tick (HzbPacing *pacing, double lag_s, struct timespec now)
+{
+  double seconds, part = lag_s > LATE_S ? LATE_PART : 1;
+
+  if (!pacing->active)
+    return;
+  if (hzb_time_between (pacing->began, now) >= pacing->limits.duration_s)
+    {
+      hzb_pacing_end (pacing);
+      return;
+    }
+  seconds = hzb_time_between (pacing->filled, now);
+  pacing->filled = now;
+  pacing->lag_s = lag_s;
+  pacing->tokens = fill (pacing->tokens, pacing->limits.per_s * part, seconds);
+  pacing->rental_tokens = fill (pacing->rental_tokens, pacing->limits.rentals_per_s, seconds);
+}
+
+void
+hzb_pacing_begin_answer (HzbPacing *pacing)
+{
+  pacing->in_answer = 0;
+}
+
+gboolean
+hzb_pacing_answer_full (const HzbPacing *pacing)
+{
+  return pacing->active && pacing->limits.per_answer && pacing->in_answer >= pacing->limits.per_answer;
+}
+
+gboolean
+hzb_pacing_allows (const HzbPacing *pacing, HzbPacingClass class)
+{
+  static const double leaves[HZB_PACING_N_CLASSES] = { OTHER_LEAVES, GUARANTEED_LEAVES, 0 };
+  double bucket = pacing->limits.per_s * BURST_S;
+
+  if (!pacing->active)
+    return TRUE;
+  return pacing->tokens >= MIN (1 + leaves[class] * bucket, bucket);
+}
+
+void
+hzb_pacing_take (HzbPacing *pacing)
+{
+  if (!pacing->active)
+    return;
+  pacing->tokens -= 1;
+  pacing->in_answer++;
+}
+
+gboolean
+hzb_pacing_take_rental (HzbPacing *pacing)
+{
+  if (!pacing->active)
+    return TRUE;
+  if (pacing->rental_tokens < 1)
+    return FALSE;
+  pacing->rental_tokens -= 1;
+  return TRUE;
+}
--- /dev/null
+++ b/src/reconciliation/pacing.h
@@ -0,0 +1,61 @@
+/**
+ * SECTION: pacing
+ * @short_description: how fast commands may be given after a cold start
+ *
+ * A token bucket with a reserve for higher levels: the less is left, the more pressing a task has to be. It reads no
+ * clock and does no I/O. The dispatcher asks it before each start and
+ * before each task that it delegates, the quarantine before each stop.
+ */
+#pragma once
+#include "clock.h"
+
+/** HzbPacingClass: who may use how much of what is left. */
+typedef enum
+{
+  HZB_PACING_OTHER,      /* stops of nobody's tasks, and work without a guarantee */
+  HZB_PACING_GUARANTEED, /* within a team's guarantee */
+  HZB_PACING_URGENT,     /* urgent work and services */
+  HZB_PACING_N_CLASSES
+} HzbPacingClass;
+
+typedef struct
+{
+  double per_s;         /* commands */
+  guint per_answer;     /* starts in one answer to a worker; 0: no limit */
+  double rentals_per_s; /* calls to the cloud */
+  double duration_s;
+} HzbPacingLimits;
+
+typedef struct
+{
+  HzbPacingLimits limits;
+  gboolean active;
+  struct timespec began, filled;
+  double tokens, rental_tokens;
+  double lag_s;
+  guint in_answer;
+} HzbPacing;
+
+/** hzb_pacing_begin: from now on, for as long as the limits say. */
+void hzb_pacing_begin (HzbPacing *pacing, const HzbPacingLimits *limits, struct timespec now);
+
+/** hzb_pacing_end: no limit from now on. */
+void hzb_pacing_end (HzbPacing *pacing);
+
+/** hzb_pacing_tick: fills the buckets; ends by itself once its time is over. @lag_s: how late timers fire. */
+void hzb_pacing_tick (HzbPacing *pacing, double lag_s, struct timespec now);
+
+/** hzb_pacing_begin_answer: what is started from here on goes to one worker. */
+void hzb_pacing_begin_answer (HzbPacing *pacing);
+
+/** hzb_pacing_answer_full: this worker has got as many starts as it should at once. */
+gboolean hzb_pacing_answer_full (const HzbPacing *pacing);
+
+/** hzb_pacing_allows: one more command of this class may be given now. */
+gboolean hzb_pacing_allows (const HzbPacing *pacing, HzbPacingClass class);
+
+/** hzb_pacing_take: one was given. */
+void hzb_pacing_take (HzbPacing *pacing);
+
+/** hzb_pacing_take_rental: Returns: FALSE if the cloud should not be called now; else the call is counted. */
+gboolean hzb_pacing_take_rental (HzbPacing *pacing);
--- /dev/null
+++ b/src/reconciliation/reconciliation-admin.c
@@ -0,0 +1,232 @@
+#include "reconciliation-admin.h"
+
+#include "reconciliation-private.h"
+
+#include <string.h>
+
+#define HZB_ADMIN_QUARANTINE "reconciliation/quarantine/"
+#define HZB_ADMIN_ARCHIVES "reconciliations"
+
+/* ---- how far it is ---- */
+
+static void
+pack_awaited (const HzbReconciliation *reconciliation, cJSON *root)
+{
+  HzbController *controller = reconciliation->controller;
+  struct timespec now = hzb_clock_now (controller->clock);
+  cJSON *list = cJSON_AddArrayToObject (root, "awaited");
+
+  for (guint i = 0; i < reconciliation->machines->len; i++)
+    {
+      const HzbArchivedMachine *archived = &g_array_index (reconciliation->machines, HzbArchivedMachine, i);
+      const HzbMachine *machine = archived->at_s < 0 ? hzb_machines_find (controller->machines, archived->name) : NULL;
+      cJSON *item;
+      if (!machine)
+        continue;
+      item = cJSON_CreateObject ();
+      cJSON_AddStringToObject (item, "name", machine->name);
+      cJSON_AddStringToObject (item, "state", hzb_machine_state_name (machine->state));
+      /* Then it is given back; until the cloud confirms that, its tasks may run. */
+      cJSON_AddNumberToObject (item, "forS",
+                               MAX (0, controller->settings->lease_s + 2 - hzb_time_between (machine->since, now)));
+      cJSON_AddItemToArray (list, item);
+    }
+}
+
+static void
+pack_jobs (const HzbReconciliation *reconciliation, cJSON *root)
+{
+  guint counts[HZB_JOB_N_VERDICTS][HZB_JOB_N_REASONS] = { { 0 } };
+  cJSON *list = cJSON_AddArrayToObject (root, "jobs");
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, reconciliation->tracked);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    counts[((HzbTrackedJob *) value)->entry.verdict][((HzbTrackedJob *) value)->entry.reason]++;
+  for (guint verdict = 0; verdict < HZB_JOB_N_VERDICTS; verdict++)
+    for (guint reason = 0; reason < HZB_JOB_N_REASONS; reason++)
+      if (counts[verdict][reason])
+        {
+          cJSON *item = cJSON_CreateObject ();
+          cJSON_AddStringToObject (item, "verdict", hzb_job_verdict_name ((HzbJobVerdict) verdict));
+          cJSON_AddStringToObject (item, "reason", hzb_job_reason_name ((HzbJobReason) reason));
+          cJSON_AddNumberToObject (item, "jobs", counts[verdict][reason]);
+          cJSON_AddItemToArray (list, item);
+        }
+}
+
+static void
+pack_tasks (const HzbReconciliation *reconciliation, cJSON *root)
+{
+  cJSON *list = cJSON_AddArrayToObject (root, "tasks");
+  for (guint verdict = 0; verdict < HZB_TASK_N_VERDICTS; verdict++)
+    for (guint reason = 0; reason < HZB_TASK_N_REASONS; reason++)
+      if (reconciliation->verdicts[verdict][reason])
+        {
+          cJSON *item = cJSON_CreateObject ();
+          cJSON_AddStringToObject (item, "verdict", hzb_task_verdict_name ((HzbTaskVerdict) verdict));
+          cJSON_AddStringToObject (item, "reason", hzb_task_reason_name ((HzbTaskReason) reason));
+          cJSON_AddNumberToObject (item, "times", reconciliation->verdicts[verdict][reason]);
+          cJSON_AddItemToArray (list, item);
+        }
+}
+
+static void
+pack_quarantine (const HzbReconciliation *reconciliation, cJSON *root)
+{
+  g_autoptr (GPtrArray) entries = hzb_quarantine_list (reconciliation->quarantine);
+  cJSON *list = cJSON_AddArrayToObject (root, "quarantine");
+  for (guint i = 0; i < entries->len; i++)
+    {
+      const HzbQuarantined *entry = entries->pdata[i];
+      cJSON *item = cJSON_CreateObject ();
+      cJSON_AddStringToObject (item, "job", entry->uid);
+      cJSON_AddNumberToObject (item, "task", entry->task);
+      cJSON_AddStringToObject (item, "machine", entry->machine);
+      cJSON_AddBoolToObject (item, "alive", entry->alive);
+      cJSON_AddStringToObject (item, "proof", hzb_quarantine_proof_name (entry->proof));
+      cJSON_AddStringToObject (item, "verdict", hzb_task_verdict_name (entry->verdict));
+      cJSON_AddStringToObject (item, "reason", hzb_task_reason_name (entry->reason));
+      cJSON_AddItemToArray (list, item);
+    }
+  cJSON_AddNumberToObject (root, "notTracked", hzb_quarantine_overflow (reconciliation->quarantine));
+}
+
+static cJSON *
+pack_state (HzbReconciliation *reconciliation)
+{
+  cJSON *root = cJSON_CreateObject ();
+  cJSON_AddBoolToObject (root, "enabled", reconciliation->controller->settings->reconciliation.enabled);
+  cJSON_AddStringToObject (root, "state", hzb_reconciliation_state_name (reconciliation->state));
+  cJSON_AddStringToObject (root, "reason", hzb_start_reason_name (reconciliation->start_reason));
+  hzb_json_add_u64 (root, "id", reconciliation->record.id);
+  cJSON_AddNumberToObject (root, "starts", reconciliation->record.starts);
+  cJSON_AddNumberToObject (root, "undecided", reconciliation->open);
+  cJSON_AddNumberToObject (root, "notDurable", reconciliation->unrecorded);
+  cJSON_AddBoolToObject (root, "paced", reconciliation->pacing.active);
+  pack_jobs (reconciliation, root);
+  pack_tasks (reconciliation, root);
+  pack_awaited (reconciliation, root);
+  pack_quarantine (reconciliation, root);
+  return root;
+}
+
+/* ---- requests ---- */
+
+static void
+refuse (HzbExchange *exchange, guint status, const char *text)
+{
+  hzb_exchange_reply (exchange, status, hzb_wire_error (text), status == 503 ? 1 : 0);
+}
+
+static void
+on_archive_read (guint status, char *body, gpointer user)
+{
+  hzb_exchange_reply (user, status, body, status == 503 ? 1 : 0);
+}
+
+static void
+on_decided (HzbKeepResult result, gpointer user)
+{
+  static const struct
+  {
+    guint status;
+    const char *text;
+  } answers[] = {
+    [HZB_KEEP_DONE] = { 200, NULL },
+    [HZB_KEEP_NOT_FOUND] = { 404, "no such task is in quarantine" },
+    [HZB_KEEP_NOT_PROVEN] = { 409, "it is not proven yet that no record names it: ask again in some seconds" },
+    [HZB_KEEP_TOO_MANY] = { 409, "too many tasks are kept: have others stopped first" },
+    [HZB_KEEP_CONFLICT] = { 409, "the decisions were changed meanwhile: look at them again" },
+    [HZB_KEEP_UNAVAILABLE] = { 503, "it is not known whether the decision is durable: look at it again" },
+    [HZB_KEEP_BUSY] = { 503, "another decision is being recorded" },
+  };
+  if (result == HZB_KEEP_DONE)
+    hzb_exchange_reply (user, 200, g_strdup ("{\"decided\":true}"), 0);
+  else
+    refuse (user, answers[result].status, answers[result].text);
+}
+
+static gboolean
+read_decision (const HzbExchange *exchange, HzbOperatorDecision *decision)
+{
+  cJSON *root = cJSON_ParseWithLength (exchange->body, exchange->length);
+  const char *text = hzb_json_text (root, "decision");
+  gboolean known = TRUE;
+
+  if (g_strcmp0 (text, "keep") == 0)
+    *decision = HZB_OPERATOR_KEEPS;
+  else if (g_strcmp0 (text, "stop") == 0)
+    *decision = HZB_OPERATOR_STOPS;
+  else
+    known = FALSE;
+  cJSON_Delete (root);
+  return known;
+}
+
+/* quarantine/JOB/NUMBER */
+static void
+decide (HzbReconciliation *reconciliation, HzbExchange *exchange, const char *name)
+{
+  g_auto (GStrv) parts = g_strsplit (name, "/", 0);
+  HzbOperatorDecision decision;
+  guint64 task = 0;
+
+  if (g_strv_length (parts) != 2 || !hzb_wire_uid_ok (parts[0])
+      || !g_ascii_string_to_unsigned (parts[1], 10, 0, HZB_MAX_TASKS, &task, NULL))
+    refuse (exchange, 400, "expected quarantine/JOB/NUMBER");
+  else if (!read_decision (exchange, &decision))
+    refuse (exchange, 400, "expected {\"decision\": \"keep\"} or \"stop\"");
+  else
+    hzb_quarantine_decide (reconciliation->quarantine, parts[0], (guint) task, decision, on_decided, exchange);
+}
+
+static void
+show_archive (HzbReconciliation *reconciliation, HzbExchange *exchange, const char *id_text)
+{
+  guint64 id = 0;
+  if (!g_ascii_string_to_unsigned (id_text, 10, 1, G_MAXUINT64, &id, NULL))
+    refuse (exchange, 400, "expected the id of an archive");
+  else
+    hzb_archive_store_read (reconciliation->archives, id, on_archive_read, exchange);
+}
+
+static void
+redirect (const HzbController *controller, HzbExchange *exchange)
+{
+  hzb_exchange_reply (exchange, 421, hzb_wire_redirect (hzb_election_leader (controller->election)), 0);
+}
+
+gboolean
+hzb_reconciliation_admin_request (HzbController *controller, HzbExchange *exchange, const char *path)
+{
+  HzbReconciliation *reconciliation = controller->reconciliation;
+  gboolean get = g_str_equal (exchange->method, "GET"), post = g_str_equal (exchange->method, "POST");
+  gboolean leads = controller->ownership >= HZB_OWNERSHIP_RECOVERING && hzb_election_leading (controller->election);
+  gboolean state = g_str_equal (path, "reconciliation");
+  gboolean quarantine = g_str_has_prefix (path, HZB_ADMIN_QUARANTINE);
+
+  if (!state && !quarantine && !g_str_has_prefix (path, HZB_ADMIN_ARCHIVES))
+    return FALSE;
+  if (quarantine ? !post : !get)
+    refuse (exchange, 405, quarantine ? "POST here" : "GET here");
+  else if ((state || quarantine) && !leads)
+    redirect (controller, exchange);
+  else if (state)
+    {
+      cJSON *root = pack_state (reconciliation);
+      char *text = cJSON_PrintUnformatted (root);
+      cJSON_Delete (root);
+      hzb_exchange_reply (exchange, 200, text, 0);
+    }
+  else if (quarantine)
+    decide (reconciliation, exchange, path + strlen (HZB_ADMIN_QUARANTINE));
+  else if (g_str_equal (path, HZB_ADMIN_ARCHIVES))
+    hzb_archive_store_list (reconciliation->archives, on_archive_read, exchange);
+  else if (g_str_has_prefix (path, HZB_ADMIN_ARCHIVES "/"))
+    show_archive (reconciliation, exchange, path + strlen (HZB_ADMIN_ARCHIVES "/"));
+  else
+    return FALSE;
+  return TRUE;
+}
--- /dev/null
+++ b/src/reconciliation/reconciliation.h
@@ -0,0 +1,90 @@
+/**
+ * SECTION: reconciliation
+ * @short_description: after all controllers have ended, each job's fate is decided once, before any new command for it
+ *
+ * The public face of the package, used by the leader. A leadership that begins after every controller of the last one has
+ * ended is a cold start. Then no command is given for a job until it is decided and durable what becomes of it; that is
+ * known once every machine that may hold a task of it has answered or is gone. It only ever withholds commands: which
+ * tasks may start elsewhere is decided by the rules of every change of leader (docs/cold-start.md).
+ */
+#pragma once
+#include "archive-store.h"
+#include "pacing.h"
+#include "quarantine.h"
+
+typedef struct _HzbReconciliation HzbReconciliation;
+
+typedef enum
+{
+  HZB_RECONCILIATION_NONE,       /* not leading, not a cold start, or switched off */
+  HZB_RECONCILIATION_DETECTING,  /* it is not known yet whether any controller has survived */
+  HZB_RECONCILIATION_COLLECTING, /* some jobs wait for machines */
+  HZB_RECONCILIATION_DECIDING,   /* all jobs are decided, some verdicts are not durable */
+  HZB_RECONCILIATION_RECORDED,   /* all are; commands are paced, then the archive is written */
+  HZB_RECONCILIATION_COMPLETE,
+  HZB_RECONCILIATION_ABANDONED, /* the leadership was lost in the middle: the next leader goes on */
+  HZB_RECONCILIATION_N_STATES
+} HzbReconciliationState;
+
+HzbReconciliation *hzb_reconciliation_new (HzbController *controller);
+void hzb_reconciliation_free (HzbReconciliation *reconciliation);
+
+/** hzb_reconciliation_reset: leadership begins or ends. */
+void hzb_reconciliation_reset (HzbReconciliation *reconciliation);
+
+/** hzb_reconciliation_load: takes one of the owner's records, whichever it is. */
+void hzb_reconciliation_load (HzbReconciliation *reconciliation, const HzbItem *item);
+
+/** hzb_reconciliation_loaded: all records were taken. From here on commands may be withheld. */
+void hzb_reconciliation_loaded (HzbReconciliation *reconciliation);
+
+/** hzb_reconciliation_tick: goes on with whatever is next. */
+void hzb_reconciliation_tick (HzbReconciliation *reconciliation, struct timespec now);
+
+HzbReconciliationState hzb_reconciliation_state (const HzbReconciliation *reconciliation);
+const char *hzb_reconciliation_state_name (HzbReconciliationState state);
+HzbQuarantine *hzb_reconciliation_quarantine (HzbReconciliation *reconciliation);
+HzbPacing *hzb_reconciliation_pacing (HzbReconciliation *reconciliation);
+HzbArchiveStore *hzb_reconciliation_archives (HzbReconciliation *reconciliation);
+
+/* ---- what others ask ---- */
+
+/** hzb_reconciliation_may_resolve: the job's unknown tasks may be taken for tasks that are nowhere. */
+gboolean hzb_reconciliation_may_resolve (const HzbReconciliation *reconciliation, const HzbJob *job);
+
+/** hzb_reconciliation_may_rent: machines may be rented now; counts the call. */
+gboolean hzb_reconciliation_may_rent (HzbReconciliation *reconciliation, struct timespec now);
+
+/**
+ * hzb_reconciliation_judge_unrecorded: a report shows a task that no record here names.
+ *
+ * Returns: %HZB_TASK_VERDICT_STOP or %HZB_TASK_VERDICT_REAP if it may be told so, else it is to be left alone
+ */
+HzbTaskVerdict hzb_reconciliation_judge_unrecorded (HzbReconciliation *reconciliation, const HzbMachine *machine,
+                                                    const HzbTaskReport *task_report, struct timespec now);
+
+/**
+ * hzb_reconciliation_judge:
+ * @task: (nullable): NULL if the job is over and nothing of it is kept
+ *
+ * A report shows a task of a job that is known. Returns: what is to be done with it
+ */
+HzbTaskVerdict hzb_reconciliation_judge (HzbReconciliation *reconciliation, const HzbMachine *machine,
+                                         const HzbJob *job, const HzbTask *task, const HzbTaskReport *task_report);
+
+/** hzb_reconciliation_note_commands: these go to a worker. */
+void hzb_reconciliation_note_commands (HzbReconciliation *reconciliation, const GArray *commands);
+
+/** hzb_reconciliation_note_rentals: so many machines were asked for. */
+void hzb_reconciliation_note_rentals (HzbReconciliation *reconciliation, guint machines);
+
+/* ---- the roster: which controllers are alive, kept beside the flush record ---- */
+
+/** hzb_reconciliation_roster_due: a controller is alive that the recorded roster does not name. */
+gboolean hzb_reconciliation_roster_due (HzbReconciliation *reconciliation);
+
+/** hzb_reconciliation_add_roster: puts the roster into the value of the flush record that is about to be written. */
+void hzb_reconciliation_add_roster (HzbReconciliation *reconciliation, cJSON *flush_record);
+
+/** hzb_reconciliation_roster_written: what became of that. */
+void hzb_reconciliation_roster_written (HzbReconciliation *reconciliation, gboolean applied);
--- /dev/null
+++ b/src/reconciliation/report.c
@@ -0,0 +1,231 @@
+#include "report.h"
+
+#include <time.h>
+
+#define PLOT_WIDTH 720
+#define PLOT_HEIGHT 140
+#define BAR_WIDTH (PLOT_WIDTH / (int) HZB_ARCHIVE_SECONDS)
+#define LONGEST_LIST 200u /* rows of a table; the archive has all */
+
+/* ---- what both show ---- */
+
+static char *
+began_text (const HzbArchive *archive)
+{
+  g_autoptr (GDateTime) at = g_date_time_new_from_unix_utc ((gint64) archive->began);
+  return at ? g_date_time_format (at, "%Y-%m-%d %H:%M:%S UTC") : g_strdup ("at no known time");
+}
+
+static guint
+total_of (const HzbArchive *archive, HzbArchiveKind kind)
+{
+  guint total = 0;
+  for (guint second = 0; second < HZB_ARCHIVE_SECONDS; second++)
+    total += archive->commands[kind][second];
+  return total;
+}
+
+static guint
+highest_of (const HzbArchive *archive, HzbArchiveKind kind)
+{
+  guint highest = 0;
+  for (guint second = 0; second < HZB_ARCHIVE_SECONDS; second++)
+    highest = MAX (highest, archive->commands[kind][second]);
+  return highest;
+}
+
+/* When the first and the last verdict were durable; below 0: there is none. */
+static void
+verdict_times (const HzbArchive *archive, double *first_s, double *last_s)
+{
+  *first_s = *last_s = -1;
+  for (guint i = 0; i < archive->jobs->len; i++)
+    {
+      double at_s = g_array_index (archive->jobs, HzbArchivedJob, i).at_s;
+      *first_s = *first_s < 0 ? at_s : MIN (*first_s, at_s);
+      *last_s = MAX (*last_s, at_s);
+    }
+}
+
+typedef void (*VerdictRow) (GString *out, const char *verdict, const char *reason, guint jobs);
+
+static void
+each_verdict (const HzbArchive *archive, VerdictRow row, GString *out)
+{
+  guint counts[HZB_JOB_N_VERDICTS][HZB_JOB_N_REASONS] = { { 0 } };
+  for (guint i = 0; i < archive->jobs->len; i++)
+    {
+      const HzbVerdictEntry *entry = &g_array_index (archive->jobs, HzbArchivedJob, i).entry;
+      counts[entry->verdict][entry->reason]++;
+    }
+  for (guint verdict = 0; verdict < HZB_JOB_N_VERDICTS; verdict++)
+    for (guint reason = 0; reason < HZB_JOB_N_REASONS; reason++)
+      if (counts[verdict][reason])
+        row (out, hzb_job_verdict_name ((HzbJobVerdict) verdict), hzb_job_reason_name ((HzbJobReason) reason),
+             counts[verdict][reason]);
+}
+
+/* ---- as text ---- */
+
+static void
+text_row (GString *out, const char *verdict, const char *reason, guint jobs)
+{
+  g_string_append_printf (out, "  %-8s %-18s %6u\n", verdict, reason, jobs);
+}
+
+static void
+text_lists (GString *out, const HzbArchive *archive)
+{
+  guint awaited = 0;
+  for (guint i = 0; i < archive->machines->len; i++)
+    {
+      const HzbArchivedMachine *machine = &g_array_index (archive->machines, HzbArchivedMachine, i);
+      if (machine->at_s < 0)
+        g_string_append_printf (out, "%s  %s\n", awaited++ ? "" : "machines that were never accounted for:\n",
+                                machine->name);
+    }
+  if (archive->quarantine->len)
+    g_string_append (out, "tasks that no record names:\n");
+  for (guint i = 0; i < archive->quarantine->len; i++)
+    {
+      const HzbArchivedTask *task = &g_array_index (archive->quarantine, HzbArchivedTask, i);
+      g_string_append_printf (out, "  %s on %s: %s (%s)\n", task->name, task->machine, task->verdict, task->reason);
+    }
+}
+
+char *
+hzb_report_text (const HzbArchive *archive)
+{
+  GString *out = g_string_new (NULL);
+  g_autofree char *began = began_text (archive);
+  double first_s, last_s;
+
+  verdict_times (archive, &first_s, &last_s);
+  g_string_append_printf (out, "reconciliation %" G_GUINT64_FORMAT ", %s (%s)\n", archive->id, began, archive->reason);
+  g_string_append_printf (out, "cold starts: %u; archived after %.1f s, under term %" G_GUINT64_FORMAT "\n",
+                          archive->starts, archive->complete_s, archive->term);
+  g_string_append_printf (out, "jobs: %u (%u more are not listed); machines that could hold work: %u (%u more)\n",
+                          archive->jobs->len, archive->omitted_jobs, archive->machines->len, archive->omitted_machines);
+  if (last_s >= 0)
+    g_string_append_printf (out, "first verdict durable after %.1f s, the last after %.1f s\n", first_s, last_s);
+  each_verdict (archive, text_row, out);
+  g_string_append (out, "commands in the first minute, and in the busiest second:\n");
+  for (guint kind = 0; kind < HZB_ARCHIVE_N_KINDS; kind++)
+    g_string_append_printf (out, "  %-8s %6u %6u\n", hzb_archive_kind_name ((HzbArchiveKind) kind),
+                            total_of (archive, (HzbArchiveKind) kind), highest_of (archive, (HzbArchiveKind) kind));
+  text_lists (out, archive);
+  return g_string_free (out, FALSE);
+}
+
+/* ---- as a page ---- */
+
+/* Names come from users and machines. */
+static void
+append_escaped (GString *out, const char *text)
+{
+  g_autofree char *escaped = g_markup_escape_text (text, -1);
+  g_string_append (out, escaped);
+}
+
+static void
+html_row (GString *out, const char *verdict, const char *reason, guint jobs)
+{
+  g_string_append_printf (out, "<tr><td>%s</td><td>%s</td><td>%u</td></tr>\n", verdict, reason, jobs);
+}
+
+/* A plot of one value for each second. */
+static void
+append_plot (GString *out, const char *title, const guint *values, guint highest)
+{
+  g_string_append_printf (out, "<h3>%s a second, at most %u</h3>\n<svg width=\"%d\" height=\"%d\" role=\"img\">\n",
+                          title, highest, PLOT_WIDTH, PLOT_HEIGHT + 20);
+  for (guint second = 0; second < HZB_ARCHIVE_SECONDS; second++)
+    {
+      int height = highest ? (int) ((guint64) values[second] * PLOT_HEIGHT / highest) : 0;
+      g_string_append_printf (out,
+                              "<rect x=\"%d\" y=\"%d\" width=\"%d\" height=\"%d\" fill=\"#36c\"><title>second %u: %u"
+                              "</title></rect>\n",
+                              (int) second * BAR_WIDTH, PLOT_HEIGHT - height, BAR_WIDTH - 2, height, second,
+                              values[second]);
+      if (second % 10 == 0)
+        g_string_append_printf (out, "<text x=\"%d\" y=\"%d\" font-size=\"11\">%u s</text>\n", (int) second * BAR_WIDTH,
+                                PLOT_HEIGHT + 14, second);
+    }
+  g_string_append (out, "</svg>\n");
+}
+
+static void
+append_verdict_plot (GString *out, const HzbArchive *archive)
+{
+  guint values[HZB_ARCHIVE_SECONDS] = { 0 }, highest = 0;
+  for (guint i = 0; i < archive->jobs->len; i++)
+    {
+      double at_s = g_array_index (archive->jobs, HzbArchivedJob, i).at_s;
+      if (at_s >= 0 && at_s < HZB_ARCHIVE_SECONDS)
+        {
+          guint *value = &values[(guint) at_s];
+          *value += 1;
+          highest = MAX (highest, *value);
+        }
+    }
+  append_plot (out, "durable verdicts", values, highest);
+}
+
+static void
+append_jobs (GString *out, const HzbArchive *archive)
+{
+  g_string_append (out, "<h2>Jobs</h2>\n<table>\n<tr><th>job</th><th>verdict</th><th>reason</th><th>tasks</th>"
+                        "<th>released</th><th>found</th><th>results</th><th>restarted</th><th>after</th></tr>\n");
+  for (guint i = 0; i < MIN (archive->jobs->len, LONGEST_LIST); i++)
+    {
+      const HzbArchivedJob *job = &g_array_index (archive->jobs, HzbArchivedJob, i);
+      g_string_append (out, "<tr><td>");
+      append_escaped (out, job->entry.uid);
+      g_string_append_printf (out,
+                              "</td><td>%s</td><td>%s</td><td>%u</td><td>%u</td><td>%u</td><td>%u</td><td>%u</td>"
+                              "<td>%.1f s</td></tr>\n",
+                              hzb_job_verdict_name (job->entry.verdict), hzb_job_reason_name (job->entry.reason),
+                              job->tasks, job->released, job->entry.found, job->entry.results, job->entry.restarted,
+                              job->at_s);
+    }
+  g_string_append (out, "</table>\n");
+}
+
+static void
+append_text_lists (GString *out, const HzbArchive *archive)
+{
+  g_autoptr (GString) lists = g_string_new (NULL);
+  text_lists (lists, archive);
+  if (!lists->len)
+    return;
+  g_string_append (out, "<h2>What is left to look at</h2>\n<pre>");
+  append_escaped (out, lists->str);
+  g_string_append (out, "</pre>\n");
+}
+
+char *
+hzb_report_html (const HzbArchive *archive)
+{
+  GString *out = g_string_new ("<!DOCTYPE html>\n<html lang=\"en\"><head><meta charset=\"utf-8\">"
+                               "<title>Reconciliation</title><style>body{font-family:sans-serif;margin:2em}"
+                               "table{border-collapse:collapse}td,th{border:1px solid #ccc;padding:2px 8px;"
+                               "text-align:left}</style></head><body>\n");
+  g_autofree char *began = began_text (archive);
+
+  g_string_append_printf (out, "<h1>Reconciliation %" G_GUINT64_FORMAT "</h1>\n<p>%s, ", archive->id, began);
+  append_escaped (out, archive->reason);
+  g_string_append_printf (out, "; %u cold starts, %u jobs, %u machines, archived after %.1f s.</p>\n", archive->starts,
+                          archive->jobs->len + archive->omitted_jobs,
+                          archive->machines->len + archive->omitted_machines, archive->complete_s);
+  g_string_append (out, "<h2>Verdicts</h2>\n<table>\n<tr><th>verdict</th><th>reason</th><th>jobs</th></tr>\n");
+  each_verdict (archive, html_row, out);
+  g_string_append (out, "</table>\n<h2>The first minute</h2>\n");
+  append_verdict_plot (out, archive);
+  for (guint kind = 0; kind < HZB_ARCHIVE_N_KINDS; kind++)
+    append_plot (out, hzb_archive_kind_name ((HzbArchiveKind) kind), archive->commands[kind],
+                 highest_of (archive, (HzbArchiveKind) kind));
+  append_jobs (out, archive);
+  append_text_lists (out, archive);
+  g_string_append (out, "</body></html>\n");
+  return g_string_free (out, FALSE);
+}
--- /dev/null
+++ b/src/reconciliation/report.h
@@ -0,0 +1,12 @@
+/**
+ * SECTION: report
+ * @short_description: an archive as an operator reads it: as text, or as a page with plots
+ */
+#pragma once
+#include "archive.h"
+
+/** hzb_report_text: Returns: (transfer full) */
+char *hzb_report_text (const HzbArchive *archive);
+
+/** hzb_report_html: one file that refers to no other. Returns: (transfer full) */
+char *hzb_report_html (const HzbArchive *archive);
--- a/src/records.c
+++ b/src/records.c
@@ -283,6 +283,7 @@
 flush_applied (HzbRecords *records, Flush *flush)
 {
   HzbController *controller = records->controller;
+  hzb_reconciliation_roster_written (controller->reconciliation, TRUE);
   for (guint i = 0; i < flush->parts->len; i++)
     {
       FlushedPart *part = flush->parts->pdata[i];
@@ -315,6 +316,7 @@
 flush_failed (HzbRecords *records, Flush *flush)
 {
   HzbController *controller = records->controller;
+  hzb_reconciliation_roster_written (controller->reconciliation, FALSE);
   for (guint i = 0; i < flush->parts->len; i++)
     {
       HzbJob *job = hzb_jobs_find (controller->jobs, ((FlushedPart *) flush->parts->pdata[i])->uid);
@@ -625,6 +627,7 @@
   hzb_json_add_u64 (value, "n", flush->number);
   hzb_json_add_u64 (value, "term", hzb_election_term (controller->election));
   hzb_json_add_u64 (value, "clear", hzb_cancellations_acknowledged_revision (controller->cancellations));
+  hzb_reconciliation_add_roster (controller->reconciliation, value);
   hzb_wire_txn_put (txn, HZB_KEY_FLUSH, value, 0);
   return txn;
 }
@@ -657,7 +660,7 @@
   place_on_pages (records);
   due = due_pages (records, mark_dirty_pages (records), now);
   clean = !hzb_time_before (now, records->next_clean) && hzb_jobs_completed_acceptance (controller->jobs);
-  if (!due->len && !clean)
+  if (!due->len && !clean && !hzb_reconciliation_roster_due (controller->reconciliation))
     return;
   out = flush_new (records);
   txn = begin_transaction (records, out);
--- a/src/settings.c
+++ b/src/settings.c
@@ -282,6 +282,100 @@
   return hzb_settings_parse (text, path, error);
 }
 
+/* ---- features ---- */
+
+#define LONGEST_PACE_S 300.0
+#define MOST_STARTS 1e5
+#define MOST_ARCHIVES 24.0
+
+static const HzbReconciliationSettings usual_reconciliation = {
+  .operator_s = 120, .pace_s = 60, .starts_per_report = 4, .keep = 8
+};
+
+static void
+refuse_unknown_keys (const cJSON *table, const char *where, const char *const *known, GString *faults)
+{
+  const cJSON *item;
+  cJSON_ArrayForEach (item, table)
+    if (!g_strv_contains (known, item->string))
+      fault (faults, where, item->string, "no such key");
+}
+
+static gboolean
+flag_at (const cJSON *table, const char *where, const char *key, GString *faults)
+{
+  const cJSON *item = cJSON_GetObjectItemCaseSensitive (table, key);
+  if (item && !cJSON_IsBool (item))
+    fault (faults, where, key, "true or false");
+  return cJSON_IsTrue (item);
+}
+
+static double
+bounded_at (const cJSON *table, const char *where, const char *key, double most, double fallback, GString *faults)
+{
+  double number = number_at (table, where, key, 0, fallback, faults);
+  char expected[64];
+  if (number <= most)
+    return number;
+  g_snprintf (expected, sizeof expected, "a number of at most %g", most);
+  fault (faults, where, key, expected);
+  return 0;
+}
+
+static void
+read_reconciliation (HzbReconciliationSettings *reconciliation, const cJSON *table, GString *faults)
+{
+  static const char *const known[] = { "enabled",      "barrier",           "operator_s", "pace_s",
+                                       "starts_per_s", "starts_per_report", "keep",       NULL };
+  const char *where = "reconciliation";
+
+  if (!cJSON_IsObject (table))
+    {
+      fault (faults, "", where, "a table");
+      return;
+    }
+  refuse_unknown_keys (table, where, known, faults);
+  reconciliation->enabled = flag_at (table, where, "enabled", faults);
+  reconciliation->barrier = flag_at (table, where, "barrier", faults);
+  reconciliation->operator_s = bounded_at (table, where, "operator_s", 86400, usual_reconciliation.operator_s, faults);
+  reconciliation->pace_s = bounded_at (table, where, "pace_s", LONGEST_PACE_S, usual_reconciliation.pace_s, faults);
+  reconciliation->starts_per_s = bounded_at (table, where, "starts_per_s", MOST_STARTS, 0, faults);
+  reconciliation->starts_per_report = (guint) bounded_at (table, where, "starts_per_report", MOST_STARTS,
+                                                          usual_reconciliation.starts_per_report, faults);
+  reconciliation->keep = (guint) bounded_at (table, where, "keep", MOST_ARCHIVES, usual_reconciliation.keep, faults);
+}
+
+gboolean
+hzb_settings_parse_features (HzbSettings *settings, const char *text, const char *name, GError **error)
+{
+  static const char *const known[] = { "reconciliation", NULL };
+  char *message = NULL;
+  cJSON *root = hzb_toml_parse (text, name, &message);
+  const cJSON *table = cJSON_GetObjectItemCaseSensitive (root, "reconciliation");
+  g_autoptr (GString) faults = g_string_new (NULL);
+
+  if (!root)
+    {
+      g_set_error (error, HZB_SETTINGS_ERROR, 1, "not TOML: %s", message);
+      free (message);
+      return FALSE;
+    }
+  refuse_unknown_keys (root, "", known, faults);
+  if (table)
+    read_reconciliation (&settings->reconciliation, table, faults);
+  cJSON_Delete (root);
+  if (faults->len)
+    g_set_error (error, HZB_SETTINGS_ERROR, 2, "%s", faults->str);
+  return !faults->len;
+}
+
+gboolean
+hzb_settings_load_features (HzbSettings *settings, const char *path, GError **error)
+{
+  g_autofree char *text = NULL;
+  return g_file_get_contents (path, &text, NULL, error) && hzb_settings_parse_features (settings, text, path, error);
+}
+
 void
 hzb_settings_free (HzbSettings *settings)
 {
--- a/src/settings.h
+++ b/src/settings.h
@@ -22,6 +22,18 @@
   double within_s, share, times;
 } HzbObjective;
 
+/** HzbReconciliationSettings: what happens after a cold start, see reconciliation.h. */
+typedef struct
+{
+  gboolean enabled;
+  gboolean barrier;        /* no job goes on before all machines are accounted for */
+  double operator_s;       /* an operator's time to decide about a task that no record names */
+  double pace_s;           /* commands are paced for so long */
+  double starts_per_s;     /* 0: by the size of the fleet */
+  guint starts_per_report; /* 0: no limit */
+  guint keep;              /* archives */
+} HzbReconciliationSettings;
+
 typedef struct
 {
   char *node, *zone, *api_addr, *peer_addr;
@@ -39,6 +51,7 @@
   double cloud_rps, list_lag_s;
   double cpu_share, mem_mb;
   guint sockets;
+  HzbReconciliationSettings reconciliation; /* of the features file; off without one */
 } HzbSettings;
 
 #define HZB_SETTINGS_ERROR (hzb_settings_error_quark ())
@@ -48,6 +61,13 @@
 HzbSettings *hzb_settings_load (const char *path, GError **error);
 HzbSettings *hzb_settings_parse (const char *text, const char *name, GError **error);
 void hzb_settings_free (HzbSettings *settings);
+
+/**
+ * hzb_settings_load_features: reads which features are on, from a file such as those under deploy/. Keys that are not known
+ * are faults: the file is the operator's, not the platform's.
+ */
+gboolean hzb_settings_load_features (HzbSettings *settings, const char *path, GError **error);
+gboolean hzb_settings_parse_features (HzbSettings *settings, const char *text, const char *name, GError **error);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (HzbSettings, hzb_settings_free)
 int hzb_settings_team (const HzbSettings *settings, const char *name); /* -1: unknown */
 gboolean hzb_split_addr (const char *addr, char **host, guint16 *port);
--- a/src/worker-api.c
+++ b/src/worker-api.c
@@ -120,26 +120,42 @@
   command (commands, HZB_COMMAND_REAP, job->uid, task->index, task_report->attempt, 0);
 }
 
+#define NOBODYS_AFTER_S 15.0 /* the mirror may be a moment behind */
+
+/* A task that no record here names. */
 static void
-apply_task_report (HzbController *controller, HzbMachine *machine, const HzbTaskReport *task_report,
-                   struct timespec now, GArray *commands)
+apply_unrecorded (HzbController *controller, HzbMachine *machine, const HzbTaskReport *task_report, struct timespec now,
+                  GArray *commands)
 {
-  HzbJob *job = hzb_jobs_find (controller->jobs, task_report->uid);
-  HzbTask *task;
-  HzbTaskState state = task_state_of (task_report->state);
-  gboolean over = job && job->state != HZB_JOB_ACCEPTED;
+  gboolean over = hzb_time_between (controller->owner_since, now) > NOBODYS_AFTER_S;
 
-  if (job && !over && !job->tasks && controller->ownership == HZB_OWNERSHIP_LESSEE)
-    hzb_jobs_activate (controller->jobs, job); /* a result that came with a machine that was handed over */
-  task = job && job->tasks && task_report->task < job->n_tasks ? &job->tasks[task_report->task] : NULL;
-  if (!job || (!task && !over))
+  if (controller->settings->reconciliation.enabled && controller->ownership != HZB_OWNERSHIP_LESSEE)
     {
-      /* The mirror may be a moment behind; only after a while it is nobody's. */
-      if (hzb_time_between (controller->owner_since, now) > 15)
-        command (commands, task_report->state == HZB_TASK_REPORT_EXITED ? HZB_COMMAND_REAP : HZB_COMMAND_STOP,
-                 task_report->uid, task_report->task, task_report->attempt, 0);
-      return;
+      HzbTaskVerdict verdict =
+          hzb_reconciliation_judge_unrecorded (controller->reconciliation, machine, task_report, now);
+      over = verdict == HZB_TASK_VERDICT_STOP || verdict == HZB_TASK_VERDICT_REAP;
+      machine->quarantined += !over;
     }
+  if (over)
+    command (commands, task_report->state == HZB_TASK_REPORT_EXITED ? HZB_COMMAND_REAP : HZB_COMMAND_STOP,
+             task_report->uid, task_report->task, task_report->attempt, 0);
+}
+
+static HzbTask *
+reported_task (const HzbJob *job, const HzbTaskReport *task_report)
+{
+  return job && job->tasks && task_report->task < job->n_tasks ? &job->tasks[task_report->task] : NULL;
+}
+
+static void
+apply_recorded (HzbController *controller, HzbMachine *machine, const HzbTaskReport *task_report, struct timespec now,
+                GArray *commands)
+{
+  HzbJob *job = hzb_jobs_find (controller->jobs, task_report->uid);
+  HzbTask *task = reported_task (job, task_report);
+  HzbTaskState state = task_state_of (task_report->state);
+  gboolean over = job->state != HZB_JOB_ACCEPTED;
+
   if (task && hzb_task_on_machine (task) && task->machine == machine && task->attempt == task_report->attempt)
     task->seen = machine->round;
   if (task_report->state == HZB_TASK_REPORT_EXITED)
@@ -204,6 +220,35 @@
              hzb_spec_grace_s (job->spec));
 }
 
+static void
+apply_task_report (HzbController *controller, HzbMachine *machine, const HzbTaskReport *task_report,
+                   struct timespec now, GArray *commands)
+{
+  HzbJob *job = hzb_jobs_find (controller->jobs, task_report->uid);
+  gboolean over = job && job->state != HZB_JOB_ACCEPTED;
+  guint given = commands->len;
+  HzbTaskVerdict verdict;
+
+  if (job && !over && !job->tasks && controller->ownership == HZB_OWNERSHIP_LESSEE)
+    hzb_jobs_activate (controller->jobs, job); /* a result that came with a machine that was handed over */
+  if (!job || (!reported_task (job, task_report) && !over))
+    {
+      apply_unrecorded (controller, machine, task_report, now, commands);
+      return;
+    }
+  if (!job->awaits_verdict)
+    {
+      apply_recorded (controller, machine, task_report, now, commands);
+      return;
+    }
+  verdict = hzb_reconciliation_judge (controller->reconciliation, machine, job, reported_task (job, task_report),
+                                      task_report);
+  apply_recorded (controller, machine, task_report, now, commands);
+  /* No command before the job's fate is durable: the worker shows the task again with its next report. */
+  if (verdict != HZB_TASK_VERDICT_STOP && verdict != HZB_TASK_VERDICT_REAP)
+    g_array_set_size (commands, given);
+}
+
 /* The cloud takes the machine soon: nothing new goes there, what can save does so in time, and what can neither save
  * nor end before then is stopped, so that it starts elsewhere at once. */
 static void
@@ -223,7 +268,8 @@
       gboolean runs = task->state == HZB_TASK_RUNNING;
       double left =
           spec->service ? INFINITY : hzb_job_mean_s (task->job) - (runs ? hzb_time_between (task->since, now) : 0);
-      if (task->stopping || (!runs && task->state != HZB_TASK_FETCHING) || task->job->state != HZB_JOB_ACCEPTED)
+      if (task->stopping || (!runs && task->state != HZB_TASK_FETCHING) || task->job->state != HZB_JOB_ACCEPTED
+          || task->job->awaits_verdict)
         continue;
       if (spec->gang)
         {
@@ -262,6 +308,7 @@
   guint starts = 0, missing = 0;
 
   machine->round++;
+  machine->quarantined = 0;
   if (machine->state == HZB_MACHINE_UNVERIFIED || machine->state == HZB_MACHINE_BOOTING
       || machine->state == HZB_MACHINE_LEASE_EXPIRED)
     hzb_machine_set_state (controller->machines, machine, HZB_MACHINE_ACTIVE, "reports under our token");
@@ -499,5 +546,6 @@
     }
   if (machine->ignored_answers >= DEAF_AFTER)
     mark_unreachable (controller, machine, now);
+  hzb_reconciliation_note_commands (controller->reconciliation, commands);
   hzb_exchange_reply (exchange, 200, hzb_wire_commands (machine->token, commands), 0);
 }
--- a/tests/sim-cluster.c
+++ b/tests/sim-cluster.c
@@ -96,6 +96,22 @@
   sim_at (sim, sim->now + 0.1, node_tick, node);
 }
 
+/* By hand, all tests can be played with features on: HZB_SIM_FEATURES=deploy/reconciliation.toml */
+static void
+load_features (const Sim *sim, gboolean without, HzbSettings *settings)
+{
+  g_autoptr (GError) error = NULL;
+  const char *path = g_getenv ("HZB_SIM_FEATURES");
+
+  if (without)
+    return;
+  if (sim->size.features)
+    hzb_settings_parse_features (settings, sim->size.features, "simulated", &error);
+  else if (path)
+    hzb_settings_load_features (settings, path, &error);
+  g_assert_no_error (error);
+}
+
 void
 sim_start (Sim *sim, guint at)
 {
@@ -134,6 +150,7 @@
   settings = hzb_settings_parse (text->str, "simulated", &error);
   g_assert_no_error (error);
   g_string_free (text, TRUE);
+  load_features (sim, node->without_features, settings);
   node->life++;
   node->transport = g_new0 (SimTransport, 1);
   node->transport->parent.send = sim_send;
--- a/tests/sim-cluster.h
+++ b/tests/sim-cluster.h
@@ -23,6 +23,7 @@
   gboolean cut_store, cut_peers, cut_workers, refused;
   gboolean refuses_peers;     /* connections of other controllers are refused at once */
   double peer_answer_delay_s; /* what they answer comes so much later */
+  gboolean without_features;  /* as a version that knows none */
   gboolean old;               /* says and answers nothing that version 1 did not */
   gboolean paused;            /* still, while its clock runs on; what comes meanwhile it takes up on waking */
   GPtrArray *late;            /* what came */
@@ -92,6 +93,7 @@
   guint kept_changes;       /* the state service keeps so many: a watch from before them gets 410; 0: all */
   guint next_txn_ops;       /* limits of the state service that will come, as the settings say; 0: not named */
   double next_write_rps;
+  const char *features; /* a features file's text; NULL: what HZB_SIM_FEATURES names, or none */
 } SimSize;
 
 /* Where controllers spend their time, when it is measured. */
@@ -163,8 +165,11 @@
 void sim_check (Sim *sim);
 void sim_put_record (Sim *sim, const char *key, const char *text); /* as somebody wrote it before */
 guint sim_largest_record (Sim *sim, const char *prefix);           /* bytes; 0: there is none */
-void sim_check_forgotten (Sim *sim);                               /* each job got an answer lately */
-void sim_check_end (Sim *sim);                                     /* nothing forgotten, no one starved */
+/* Each record below the prefix, as JSON. */
+void sim_each_record (Sim *sim, const char *prefix, void (*each) (const char *key, const cJSON *value, gpointer user),
+                      gpointer user);
+void sim_check_forgotten (Sim *sim); /* each job got an answer lately */
+void sim_check_end (Sim *sim);       /* nothing forgotten, no one starved */
 guint sim_unfinished (Sim *sim);
 guint sim_running (Sim *sim, const SimJob *job, const char *zone); /* tasks that run; zone NULL: anywhere */
 int sim_leader (Sim *sim);                                         /* -1: none */
--- a/tests/sim-store.c
+++ b/tests/sim-store.c
@@ -287,6 +287,22 @@
   return (guint) most;
 }
 
+void
+sim_each_record (Sim *sim, const char *prefix, void (*each) (const char *key, const cJSON *value, gpointer user),
+                 gpointer user)
+{
+  GHashTableIter iter;
+  gpointer key, value;
+  g_hash_table_iter_init (&iter, sim->kv);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    if (g_str_has_prefix (key, prefix))
+      {
+        cJSON *root = cJSON_Parse (((Value *) value)->text);
+        each (key, root, user);
+        cJSON_Delete (root);
+      }
+}
+
 char *
 sim_query (const char *path, const char *name)
 {
--- /dev/null
+++ b/tests/test-cold-start.c
@@ -0,0 +1,666 @@
+/* All controllers end under load and come back: nothing runs twice, nothing is lost, and no command is given for a job before
+ * its verdict is durable. -m slow plays larger fleets and more seeds, -m perf measures. */
+#include "sim-faults.h"
+
+#include <string.h>
+
+#define FEATURES "[reconciliation]\nenabled = true\noperator_s = 10\n"
+#define BARRIER FEATURES "barrier = true\n"
+#define VERDICTS "hzb/x/reconciliation/verdicts/"
+#define STATE "hzb/x/reconciliation/state"
+#define LEAST_VALUE 2048u /* bytes: what cluster.state.next allows */
+#define LATE_ACCEPTANCE_S 11.0
+
+/* ---- the witness ---- */
+
+/* What the store and the workers show, seen from outside of the controllers. */
+typedef struct
+{
+  Sim *sim;
+  guint64 term;        /* of the last leader before the end */
+  GHashTable *begun;   /* uids of jobs that had a task on a machine then */
+  GHashTable *decided; /* uid -> its verdict's row */
+  double ended_at, first_command, first_verdict, last_verdict;
+  guint starts[60]; /* by second after the end of all */
+} Witness;
+
+static Witness *
+witness_new (Sim *sim)
+{
+  Witness *witness = g_new0 (Witness, 1);
+  int leader = sim_leader (sim);
+  witness->sim = sim;
+  witness->ended_at = sim->now;
+  witness->first_verdict = -1;
+  witness->term = leader >= 0 ? hzb_election_term (sim->nodes[leader].controller->election) : 0;
+  witness->begun = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  witness->decided = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  for (guint i = 0; i < sim->machines->len; i++)
+    {
+      const SimMachine *machine = sim->machines->pdata[i];
+      for (guint k = 0; k < machine->tasks->len && !machine->gone; k++)
+        g_hash_table_add (witness->begun, g_strdup (((SimTask *) machine->tasks->pdata[k])->uid));
+    }
+  return witness;
+}
+
+static void
+witness_free (Witness *witness)
+{
+  g_hash_table_unref (witness->begun);
+  g_hash_table_unref (witness->decided);
+  g_free (witness);
+}
+
+/* A verdict that is durable never changes, whoever leads. */
+static void
+see_page (const char *key, const cJSON *page, gpointer user)
+{
+  Witness *witness = user;
+  const cJSON *row;
+  cJSON_ArrayForEach (row, cJSON_GetObjectItemCaseSensitive (page, "jobs"))
+    {
+      char *text = cJSON_PrintUnformatted (row);
+      const char *before = g_hash_table_lookup (witness->decided, row->string);
+      if (before && !g_str_equal (before, text))
+        g_error ("the verdict on %s changed from %s to %s", row->string, before, text);
+      if (!before)
+        {
+          g_hash_table_insert (witness->decided, g_strdup (row->string), g_strdup (text));
+          witness->last_verdict = witness->sim->now - witness->ended_at;
+          if (witness->first_verdict < 0)
+            witness->first_verdict = witness->last_verdict;
+        }
+      cJSON_free (text);
+    }
+}
+
+/* What a leader after the end has started. */
+static void
+see_machine (Witness *witness, const SimMachine *machine)
+{
+  for (guint k = 0; k < machine->tasks->len && !machine->gone; k++)
+    {
+      const SimTask *task = machine->tasks->pdata[k];
+      if (hzb_token_leader (task->attempt >> 17) <= witness->term || !g_hash_table_contains (witness->begun, task->uid))
+        continue;
+      if (!g_hash_table_contains (witness->decided, task->uid))
+        g_error ("%s/%u was started on %s before its job's verdict was durable", task->uid, task->task, machine->name);
+    }
+}
+
+static void
+witness_run (Witness *witness, double seconds)
+{
+  Sim *sim = witness->sim;
+  double until = sim->now + seconds;
+  while (sim->now < until)
+    {
+      guint started = sim->started, second;
+      sim_run (sim, sim->now + 0.1);
+      second = (guint) (sim->now - witness->ended_at);
+      if (second < G_N_ELEMENTS (witness->starts))
+        witness->starts[second] += sim->started - started;
+      sim_each_record (sim, VERDICTS, see_page, witness);
+      for (guint i = 0; i < sim->machines->len; i++)
+        see_machine (witness, sim->machines->pdata[i]);
+    }
+}
+
+/* ---- the cluster ---- */
+
+static SimSize
+small_size (guint machines)
+{
+  SimSize size = machines > 100 ? sim_size_large : sim_size_little;
+  size.machines = machines + machines / 10;
+  size.team_max = 4 * machines;
+  size.check_s = 0.2;
+  size.features = FEATURES;
+  return size;
+}
+
+static void
+add_machines (Sim *sim, guint machines)
+{
+  for (guint i = 0; i < machines; i++)
+    sim_add_machine (sim, i % 3 ? "small" : "big", i % 2 ? "za" : "zb", TRUE, g_rand_double_range (sim->rand, 1, 5));
+}
+
+/* A cluster at work: arrays of all teams, and a service. */
+static Sim *
+cluster_at_work (guint32 seed, const SimSize *size, guint machines, double run_s)
+{
+  Sim *sim = sim_new_sized (seed, size);
+  add_machines (sim, machines);
+  for (guint i = 0; i < machines * 2 / 3; i++)
+    {
+      SimJob *job = sim_add_job (sim, 1 + 10.0 * i / machines, i % 2 ? "red" : "blue", 4 + i % 17, 1,
+                                 g_rand_double_range (sim->rand, 0.5, 1.5) * run_s);
+      job->spot = TRUE;
+    }
+  add_service (sim, 2, "red", 3, 2, 200);
+  sim_run (sim, 20 + size->report_s * 2);
+  expect_no_fault (sim, "at work", seed);
+  g_assert_cmpint (sim_leader (sim), >=, 0);
+  g_assert_cmpuint (tasks_running (sim), >, machines / 2);
+  return sim;
+}
+
+static Witness *
+end_all (Sim *sim)
+{
+  Witness *witness = witness_new (sim);
+  for (guint i = 0; i < SIM_NODES; i++)
+    sim_crash (sim, i);
+  return witness;
+}
+
+static HzbReconciliation *
+reconciliation_of_leader (Sim *sim)
+{
+  int leader = sim_leader (sim);
+  return leader >= 0 ? sim->nodes[leader].controller->reconciliation : NULL;
+}
+
+static HzbReconciliationState
+state_of (Sim *sim)
+{
+  HzbReconciliation *reconciliation = reconciliation_of_leader (sim);
+  return reconciliation ? hzb_reconciliation_state (reconciliation) : HZB_RECONCILIATION_NONE;
+}
+
+static gboolean
+witness_run_until (Witness *witness, HzbReconciliationState state, double most_s)
+{
+  double until = witness->sim->now + most_s;
+  while (state_of (witness->sim) != state && witness->sim->now < until)
+    witness_run (witness, 0.1);
+  return state_of (witness->sim) == state;
+}
+
+static void
+finish (Sim *sim, Witness *witness, const char *what, guint32 seed)
+{
+  heal (sim, NULL);
+  sim->outage = FALSE;
+  sim->late_writes = 0;
+  start_all (sim, NULL);
+  sim->calm_at = sim->now + 40;
+  witness_run (witness, 60);
+  sim_run (sim, sim->now + 400);
+  expect_all_over (sim, what, seed);
+  witness_free (witness);
+  sim_free (sim);
+}
+
+/* ---- under load ---- */
+
+static void
+play_under_load (guint32 seed, guint machines, const char *features, double away_s)
+{
+  SimSize size = small_size (machines);
+  Sim *sim;
+  Witness *witness;
+  guint busiest = 0, written;
+
+  size.features = features;
+  sim = cluster_at_work (seed, &size, machines, 60);
+  sim->most_value = LEAST_VALUE;
+  witness = end_all (sim);
+  written = sim->written;
+  sim_run (sim, sim->now + away_s);
+  start_all (sim, NULL);
+  witness_run (witness, 59 - away_s);
+  for (guint i = 0; i < G_N_ELEMENTS (witness->starts); i++)
+    busiest = MAX (busiest, witness->starts[i]);
+  g_test_message (
+      "%u machines, seed %u, away for %.1f s: verdicts durable %.1f to %.1f s after the end, at most %u starts "
+      "a second, %u changes in the first minute",
+      machines, seed, away_s, witness->first_verdict, witness->last_verdict, busiest, sim->written - written);
+  g_assert_cmpuint (g_hash_table_size (witness->decided), >, 0);
+  g_assert_true (witness_run_until (witness, HZB_RECONCILIATION_COMPLETE, 120));
+  sim_each_record (sim, VERDICTS, see_page, witness);
+  g_assert_cmpuint (sim_largest_record (sim, STATE), ==, 0); /* nothing is left for the next leader */
+  g_assert_cmpuint (sim_largest_record (sim, VERDICTS), ==, 0);
+  finish (sim, witness, "under load", seed);
+}
+
+static void
+test_under_load (void)
+{
+  for (guint32 seed = 1000; seed < 1010; seed++)
+    play_under_load (seed, 50, seed % 5 ? FEATURES : BARRIER, seed % 2 ? 1 : 14);
+  for (guint32 seed = 1010; g_test_slow () && seed < 1020; seed++)
+    {
+      play_under_load (seed, 600, FEATURES, seed % 2 ? 1 : 30);
+      play_under_load (seed, 1500, FEATURES, seed % 2 ? 1 : 30);
+    }
+}
+
+/* Half of the machines are silent through the restart, and back before or after their leases are over; some hear nothing. */
+static void
+test_silent_machines (void)
+{
+  static const double back_s[] = { 4, 9.8, 25 };
+  for (guint32 seed = 1030; seed < 1036; seed++)
+    {
+      SimSize size = small_size (30);
+      Sim *sim = cluster_at_work (seed, &size, 30, 60);
+      Witness *witness = end_all (sim);
+      for (guint i = 0; i < sim->machines->len; i++)
+        {
+          SimMachine *machine = sim->machines->pdata[i];
+          machine->cut = i % 2 == 0;
+          machine->deaf = i % 7 == 1;
+        }
+      sim->copies = 0.1; /* reports from before the end come after the verdicts */
+      sim_run (sim, sim->now + 2);
+      start_all (sim, NULL);
+      witness_run (witness, back_s[seed % G_N_ELEMENTS (back_s)]);
+      for (guint i = 0; i < sim->machines->len; i++)
+        ((SimMachine *) sim->machines->pdata[i])->cut = ((SimMachine *) sim->machines->pdata[i])->deaf = FALSE;
+      finish (sim, witness, "silent machines", seed);
+    }
+}
+
+/* Cancelled and not told, with half of a gang's tasks over, and with results that nobody has heard of. */
+static void
+test_what_happened_meanwhile (void)
+{
+  for (guint32 seed = 1040; seed < 1046; seed++)
+    {
+      SimSize size = small_size (20);
+      Sim *sim = cluster_at_work (seed, &size, 20, 25);
+      SimJob *gang = sim_add_job (sim, sim->now + 0.1, "red", 4, 1, 12);
+      Witness *witness;
+      gang->gang = TRUE;
+      sim_run (sim, sim->now + 12);
+      for (guint i = 0; i < sim->jobs->len; i += 4)
+        {
+          SimJob *job = sim->jobs->pdata[i];
+          job->wants_cancel = job != gang;
+          job->cancel_at = sim->now;
+        }
+      sim_run (sim, sim->now + 0.3 * (seed % 4));
+      witness = end_all (sim);
+      sim_run (sim, sim->now + 8); /* many tasks end, their leases live */
+      sim->lose = 0.5;             /* also the first reports of results */
+      start_all (sim, NULL);
+      witness_run (witness, 5);
+      sim->lose = 0;
+      finish (sim, witness, "what happened meanwhile", seed);
+    }
+}
+
+/* ---- controllers and the store ---- */
+
+/* Everything ends again in each state, and the next ones go on from what is durable. */
+static void
+test_ends_in_each_state (void)
+{
+  for (guint32 seed = 1050; seed < 1054; seed++)
+    for (int state = HZB_RECONCILIATION_DETECTING; state <= HZB_RECONCILIATION_RECORDED; state++)
+      {
+        SimSize size = small_size (20);
+        Sim *sim = cluster_at_work (seed, &size, 20, 60);
+        Witness *witness = end_all (sim);
+        ((SimMachine *) sim->machines->pdata[0])->hung = TRUE; /* so that deciding takes a while */
+        sim_run (sim, sim->now + 1);
+        start_all (sim, NULL);
+        while (state_of (sim) != (HzbReconciliationState) state && sim->now < witness->ended_at + 60)
+          {
+            sim_run (sim, sim->now + 0.02);
+            sim_each_record (sim, VERDICTS, see_page, witness);
+          }
+        g_assert_cmpint (state_of (sim), ==, state);
+        sim_run (sim, sim->now + g_rand_double_range (sim->rand, 0, 1));
+        if (seed % 2)
+          sim_crash (sim, (guint) MAX (sim_leader (sim), 0)); /* a change of leader goes on with it, too */
+        else
+          for (guint i = 0; i < SIM_NODES; i++)
+            sim_crash (sim, i);
+        sim_run (sim, sim->now + 1);
+        start_all (sim, NULL);
+        g_assert_true (witness_run_until (witness, HZB_RECONCILIATION_COMPLETE, 200)
+                       || state == HZB_RECONCILIATION_DETECTING);
+        finish (sim, witness, "ends in each state", seed);
+      }
+}
+
+/* Two that believe to lead, the store refused to one, out, or without answers to what it carries out. */
+static void
+test_store_and_leaders (void)
+{
+  for (guint32 seed = 1060; seed < 1072; seed++)
+    {
+      SimSize size = small_size (20);
+      Sim *sim = cluster_at_work (seed, &size, 20, 60);
+      Witness *witness = end_all (sim);
+      sim_run (sim, sim->now + 1);
+      start_all (sim, NULL);
+      sim->late_writes = seed % 4 == 0 ? 0.4 : 0;
+      witness_run_until (witness, HZB_RECONCILIATION_COLLECTING, 30);
+      witness_run (witness, g_rand_double_range (sim->rand, 0, 2));
+      if (seed % 4 == 1)
+        cut_leader (sim, NULL);
+      else if (seed % 4 == 2)
+        sim->outage = TRUE;
+      else if (seed % 4 == 3)
+        sim->nodes[MAX (sim_leader (sim), 0)].paused = TRUE;
+      witness_run (witness, 9);
+      for (guint i = 0; i < SIM_NODES; i++)
+        if (sim->nodes[i].paused)
+          sim_wake (sim, i);
+      witness_run (witness, 20);
+      finish (sim, witness, "store and leaders", seed);
+    }
+}
+
+/* A leader that knows nothing of it leads in between: what was decided before is given up, and nothing breaks. */
+static void
+test_leader_without_it (void)
+{
+  for (guint32 seed = 1080; seed < 1084; seed++)
+    {
+      SimSize size = small_size (20);
+      Sim *sim = cluster_at_work (seed, &size, 20, 60);
+      Witness *witness = end_all (sim);
+      ((SimMachine *) sim->machines->pdata[0])->hung = TRUE;
+      sim_run (sim, sim->now + 1);
+      start_all (sim, NULL);
+      g_assert_true (witness_run_until (witness, HZB_RECONCILIATION_COLLECTING, 30));
+      witness_run (witness, 2);
+      g_hash_table_remove_all (witness->begun); /* it records no verdicts */
+      for (guint with = 0; with < 2; with++)
+        {
+          for (guint i = 0; i < SIM_NODES; i++)
+            {
+              sim_crash (sim, i);
+              sim->nodes[i].without_features = !with;
+              sim_start (sim, i);
+            }
+          sim_run (sim, sim->now + 15);
+          expect_no_fault (sim, "a leader without it", seed);
+        }
+      g_assert_cmpint (state_of (sim), ==, HZB_RECONCILIATION_NONE);
+      g_assert_cmpuint (sim_largest_record (sim, STATE), ==, 0);
+      g_assert_cmpuint (sim_largest_record (sim, VERDICTS), ==, 0);
+      finish (sim, witness, "a leader without it", seed);
+    }
+}
+
+/* An unreadable page counts for nothing: its jobs wait for their machines, the others' verdicts hold. */
+static void
+test_unreadable_records (void)
+{
+  static const char *const pages[] = { "{\"format\":9,\"id\":1,\"jobs\":{}}", "[]", "{\"format\":1,\"id\":1}" };
+  for (guint i = 0; i < G_N_ELEMENTS (pages); i++)
+    {
+      SimSize size = small_size (20);
+      Sim *sim = cluster_at_work (1090 + i, &size, 20, 60);
+      Witness *witness = end_all (sim);
+      sim_put_record (sim, VERDICTS "000007", pages[i]);
+      sim_put_record (sim, STATE, i ? "{\"format\":1,\"id\":2,\"term\":1,\"starts\":1}" : pages[0]);
+      sim_put_record (sim, "hzb/x/reconciliation/kept", pages[i]);
+      start_all (sim, NULL);
+      g_assert_true (witness_run_until (witness, HZB_RECONCILIATION_COMPLETE, 200));
+      g_assert_cmpuint (sim_largest_record (sim, VERDICTS), ==, 0);
+      finish (sim, witness, "unreadable records", 1090 + i);
+    }
+}
+
+/* ---- tasks that no record names ---- */
+
+static guint
+decide (Sim *sim, const SimJob *job, const char *body)
+{
+  g_autofree char *path = g_strdup_printf ("/admin/v1/reconciliation/quarantine/%s/0", job->uid);
+  return ask (sim, (guint) MAX (sim_leader (sim), 0), "POST", path, body, NULL);
+}
+
+static gboolean
+runs (const SimMachine *machine, const SimJob *job)
+{
+  for (guint i = 0; i < machine->tasks->len; i++)
+    {
+      const SimTask *task = machine->tasks->pdata[i];
+      if (g_str_equal (task->uid, job->uid) && task->state < 4)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static void
+accept_late (Sim *sim, const SimJob *job)
+{
+  g_autofree char *body = g_strdup_printf (
+      "{\"uid\":\"%s\",\"lane\":\"try\",\"owner\":\"guest\",\"shape\":\"sweep\",\"urgency\":\"normal\",\"pieces\":1,\"cpus\":1,"
+      "\"gpus\":0,\"ramGb\":1,\"bundle\":\"img\",\"sizeGb\":0.5,\"samePlace\":false,\"spread\":false,\"loaners\":true,"
+      "\"expectS\":10,\"snapshotEveryS\":0,\"snapshotS\":0}",
+      job->uid);
+  g_autoptr (GError) error = NULL;
+  g_autoptr (HzbSpec) spec = hzb_wire_parse_job (body, strlen (body), &error);
+  cJSON *value = cJSON_CreateObject ();
+  char *text;
+  g_assert_no_error (error);
+  cJSON_AddItemToObject (value, job->uid, hzb_jobs_pack_accepted (spec, hzb_clock_wall (sim->clock)));
+  text = cJSON_PrintUnformatted (value);
+  sim_put_record (sim, "hzb/a/accepted/main/late-1", text);
+  cJSON_free (text);
+  cJSON_Delete (value);
+}
+
+typedef enum
+{
+  UNRECORDED_INVENTED,
+  UNRECORDED_ACCEPTED_LATE,
+  UNRECORDED_ENDED_LONG_AGO,
+  UNRECORDED_KEPT,
+  UNRECORDED_N
+} Unrecorded;
+
+static void
+play_unrecorded (guint32 seed, Unrecorded kind)
+{
+  SimSize size = small_size (12);
+  Sim *sim = cluster_at_work (seed, &size, 12, 100);
+  SimJob *job = sim_add_job (sim, 1e8, "guest", 1, 1, 500);
+  SimMachine *machine = machine_with_tasks (sim);
+  Witness *witness = end_all (sim);
+  g_autofree char *old_end = g_strconcat (HZB_KEY_ENDED, job->uid, NULL);
+  double seen;
+
+  job->bad = TRUE; /* no user waits for it */
+  sim_put_task (sim, machine, job, 0, 7)->state = 2;
+  ((SimTask *) machine->tasks->pdata[machine->tasks->len - 1])->end_at = 1e9;
+  start_all (sim, NULL);
+  g_assert_true (witness_run_until (witness, HZB_RECONCILIATION_COLLECTING, 30));
+  seen = sim->now;
+  if (kind == UNRECORDED_ENDED_LONG_AGO)
+    sim_put_record (sim, old_end, "{\"state\":\"done\",\"n\":1}");
+  if (kind == UNRECORDED_KEPT)
+    {
+      witness_run (witness, 2);
+      g_assert_cmpuint (decide (sim, job, "{\"decision\":\"stop\"}"), ==, 409); /* not proven */
+      g_assert_cmpuint (decide (sim, job, "{\"decision\":\"maybe\"}"), ==, 400);
+      g_assert_cmpuint (decide (sim, job, "{\"decision\":\"keep\"}"), ==, 200);
+    }
+  witness_run (witness, MAX (0, seen + LATE_ACCEPTANCE_S - sim->now));
+  g_assert_true (runs (machine, job));
+  if (kind == UNRECORDED_ACCEPTED_LATE)
+    accept_late (sim, job);
+  witness_run (witness, 25);
+  if (kind == UNRECORDED_KEPT)
+    {
+      sim_crash (sim, (guint) MAX (sim_leader (sim), 0)); /* also under the next leader */
+      witness_run (witness, 40);
+      start_all (sim, NULL);
+      g_assert_true (runs (machine, job));
+      g_assert_cmpuint (decide (sim, job, "{\"decision\":\"stop\"}"), ==, 200);
+      witness_run (witness, 5);
+    }
+  g_assert_true (runs (machine, job) == (kind == UNRECORDED_ACCEPTED_LATE));
+  g_assert_cmpuint (decide (sim, sim->jobs->pdata[0], "{\"decision\":\"stop\"}"), ==, 404);
+  g_assert_cmpuint (
+      ask (sim, (guint) (MAX (sim_leader (sim), 0) + 1) % SIM_NODES, "GET", "/admin/v1/reconciliation", "", NULL), ==,
+      421);
+  g_ptr_array_remove (sim->jobs, job);
+  finish (sim, witness, "unrecorded", seed);
+}
+
+static void
+test_unrecorded (void)
+{
+  for (int kind = 0; kind < UNRECORDED_N; kind++)
+    for (guint32 seed = 1100; seed < 1103; seed++)
+      play_unrecorded (seed, (Unrecorded) kind);
+}
+
+/* ---- operators ---- */
+
+static void
+keep_body (HzbExchange *exchange, guint status, const char *body, guint retry)
+{
+  *(char **) exchange->impl = g_strdup (status == 200 ? body : NULL);
+}
+
+static char *
+get (Sim *sim, const char *path)
+{
+  HzbExchange *exchange = g_new0 (HzbExchange, 1);
+  char *body = NULL;
+  exchange->method = g_strdup ("GET");
+  exchange->path = g_strdup (path);
+  exchange->body = g_strdup ("");
+  exchange->reply = keep_body;
+  exchange->impl = &body;
+  hzb_controller_request (exchange, sim->nodes[MAX (sim_leader (sim), 0)].controller);
+  sim_run (sim, sim->now + 3);
+  g_assert_nonnull (body);
+  return body;
+}
+
+/* The archive can be read through the administration API, and is bounded. */
+static void
+test_archives (void)
+{
+  SimSize size = small_size (12);
+  Sim *sim;
+  Witness *witness;
+  g_autofree char *list = NULL;
+  cJSON *root;
+  guint64 newest = 0;
+
+  size.features = FEATURES "keep = 2\npace_s = 5\n";
+  sim = cluster_at_work (1120, &size, 12, 120);
+  sim->most_value = LEAST_VALUE;
+  for (guint round = 0; round < 3; round++)
+    {
+      witness = end_all (sim);
+      sim_run (sim, sim->now + 1);
+      start_all (sim, NULL);
+      g_assert_true (witness_run_until (witness, HZB_RECONCILIATION_COMPLETE, 200));
+      witness_free (witness);
+    }
+  list = get (sim, "/admin/v1/reconciliations");
+  root = cJSON_Parse (list);
+  g_assert_cmpint (cJSON_GetArraySize (cJSON_GetObjectItem (root, "archives")), ==, 2);
+  newest = hzb_json_u64 (cJSON_GetArrayItem (cJSON_GetObjectItem (root, "archives"), 1), "id");
+  cJSON_Delete (root);
+  {
+    g_autofree char *path = g_strdup_printf ("/admin/v1/reconciliations/%" G_GUINT64_FORMAT, newest);
+    g_autofree char *body = get (sim, path);
+    gsize length;
+    guchar *packed;
+    g_autoptr (GBytes) bytes = NULL;
+    g_autoptr (HzbArchive) archive = NULL;
+    root = cJSON_Parse (body);
+    packed = g_base64_decode (hzb_json_text (root, "archive"), &length);
+    cJSON_Delete (root);
+    bytes = g_bytes_new_take (packed, length);
+    archive = hzb_archive_unpack (bytes, NULL);
+    g_assert_nonnull (archive);
+    g_assert_cmpuint (archive->id, ==, newest);
+    g_assert_cmpuint (archive->jobs->len, >, 0);
+    g_assert_cmpuint (archive->machines->len, >, 0);
+  }
+  finish (sim, witness_new (sim), "archives", 1120);
+}
+
+/* Neither a change of leader nor the restart of one controller is a cold start. */
+static void
+test_change_of_leader (void)
+{
+  SimSize size = small_size (12);
+  Sim *sim = cluster_at_work (1130, &size, 12, 100);
+  for (guint i = 0; i < 6; i++)
+    {
+      guint leader = (guint) MAX (sim_leader (sim), 0);
+      sim_crash (sim, leader);
+      sim_run (sim, sim->now + 3);
+      sim_start (sim, leader);
+      for (double until = sim->now + 9; sim->now < until;)
+        {
+          sim_run (sim, sim->now + 0.05);
+          g_assert_cmpint (state_of (sim), <=, HZB_RECONCILIATION_DETECTING);
+        }
+    }
+  finish (sim, witness_new (sim), "change of leader", 1130);
+}
+
+/* ---- measurement ---- */
+
+static void
+test_measure (void)
+{
+  static const guint fleets[] = { 50, 600, 1500 };
+  for (guint i = 0; g_test_perf () && i < G_N_ELEMENTS (fleets); i++)
+    for (guint on = 0; on < 2; on++)
+      for (guint32 seed = 1200; seed < 1210; seed++)
+        {
+          SimSize size = small_size (fleets[i]);
+          Sim *sim;
+          Witness *witness;
+          guint written, busiest = 0, first = 0, rentals;
+          size.features = on ? FEATURES : "";
+          sim = cluster_at_work (seed, &size, fleets[i], 60);
+          witness = end_all (sim);
+          if (!on)
+            g_hash_table_remove_all (witness->begun); /* nothing is decided there */
+          written = sim->written;
+          rentals = sim->rentals;
+          sim_run (sim, sim->now + 2);
+          start_all (sim, NULL);
+          witness_run (witness, 58);
+          for (guint k = 0; k < G_N_ELEMENTS (witness->starts); k++)
+            {
+              busiest = MAX (busiest, witness->starts[k]);
+              first += witness->starts[k];
+            }
+          g_test_message ("%u machines, seed %u, %s: verdicts %.1f to %.1f s; %u starts in the first minute, %u in the "
+                          "busiest second; %u rental calls; %u changes; %u rules broken",
+                          fleets[i], seed, on ? "on" : "off", witness->first_verdict, witness->last_verdict, first,
+                          busiest, sim->rentals - rentals, sim->written - written, sim->broken->len);
+          finish (sim, witness, "measure", seed);
+        }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_log_set_always_fatal (G_LOG_LEVEL_ERROR);
+  g_test_add_func ("/cold-start/under-load", test_under_load);
+  g_test_add_func ("/cold-start/silent-machines", test_silent_machines);
+  g_test_add_func ("/cold-start/what-happened-meanwhile", test_what_happened_meanwhile);
+  g_test_add_func ("/cold-start/ends-in-each-state", test_ends_in_each_state);
+  g_test_add_func ("/cold-start/store-and-leaders", test_store_and_leaders);
+  g_test_add_func ("/cold-start/leader-without-it", test_leader_without_it);
+  g_test_add_func ("/cold-start/unreadable-records", test_unreadable_records);
+  g_test_add_func ("/cold-start/unrecorded", test_unrecorded);
+  g_test_add_func ("/cold-start/archives", test_archives);
+  g_test_add_func ("/cold-start/change-of-leader", test_change_of_leader);
+  g_test_add_func ("/cold-start/measure", test_measure);
+  return g_test_run ();
+}
