Messages about machines between the leader and its lessees are typed, with one encode and one decode

Need: leases, returns, recalls and the head of an answer were built and read as bare JSON in three files. Change: a struct for each in block-messages.c; receiving a machine, tasks, a recall and an answer are functions of their own in lessee.c. What is written stays as it was, but for a returned machine that was refused as it came: it now says sick false where it said nothing, which is read alike. Groups of tasks stay in outbox.c.

--- a/src/block-leases-private.h
+++ b/src/block-leases-private.h
@@ -7,6 +7,7 @@
  */
 #pragma once
 #include "block-leases.h"
+#include "block-messages.h"
 #include "outbox.h"
 #include "settings.h"
 
--- a/src/block-leases.c
+++ b/src/block-leases.c
@@ -261,31 +261,29 @@
 /* A machine that comes back with tasks: they are on it or nowhere, so nothing but its next report, or its end, is
  * waited for. */
 static void
-accept_returned_machine (HzbLeases *leases, HzbLesseeView *lessee, HzbMachine *machine, const cJSON *event)
+accept_returned_machine (HzbLeases *leases, HzbLesseeView *lessee, HzbMachine *machine,
+                         const HzbMachineReturn *returned)
 {
   HzbController *controller = leases->controller;
-  const cJSON *item;
 
-  hzb_machine_unverify (controller->machines, machine, hzb_leases_next_token (leases), hzb_json_text (event, "why"));
+  hzb_machine_unverify (controller->machines, machine, hzb_leases_next_token (leases), returned->why);
   machine->unknown_tasks_of = HZB_UNKNOWN_TASKS_OF_NOBODY;
   machine->idle_since = hzb_clock_now (controller->clock);
-  if (cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (event, "sick")))
+  if (returned->sick)
     machine->to_be_returned = TRUE;
   /* The lessee's reports were newer than any copy of one that may still come here. */
-  if (hzb_json_u64 (event, "session") >= machine->session)
+  if (returned->session >= machine->session)
     {
-      machine->seq = hzb_json_u64 (event, "session") > machine->session
-                         ? hzb_json_u64 (event, "seq")
-                         : MAX (machine->seq, hzb_json_u64 (event, "seq"));
-      machine->session = hzb_json_u64 (event, "session");
+      machine->seq = returned->session > machine->session ? returned->seq : MAX (machine->seq, returned->seq);
+      machine->session = returned->session;
     }
-  cJSON_ArrayForEach (item, cJSON_GetObjectItemCaseSensitive (event, "lost"))
+  for (guint i = 0; i < returned->lost->len; i++)
     {
-      HzbTask *task =
-          hzb_tasks_find (controller->jobs, hzb_json_text (item, "job"), (int) hzb_json_number (item, "task", -1));
+      const HzbHeldTask *held = &g_array_index (returned->lost, HzbHeldTask, i);
+      HzbTask *task = hzb_tasks_find (controller->jobs, held->uid, held->number);
       if (!task || task->state != HZB_TASK_DELEGATED || task->lessee != lessee->id)
         continue;
-      task->attempt = hzb_json_u64 (item, "attempt");
+      task->attempt = held->attempt;
       task->lessee = 0;
       hzb_task_set_state (controller->jobs, task, HZB_TASK_STARTING, machine);
     }
@@ -295,18 +293,18 @@
 handle_event (HzbLeases *leases, HzbLesseeView *lessee, const cJSON *event)
 {
   HzbController *controller = leases->controller;
-  const char *name = hzb_json_text (event, "machine");
+  g_autoptr (HzbMachineReturn) returned = hzb_machine_return_decode (event);
 
   lessee->ran_s = hzb_json_number (event, "ranS", 0);
   hzb_tasks_each (leases->controller->jobs, cJSON_GetObjectItemCaseSensitive (event, "finished"), task_finished,
                   lessee);
   hzb_tasks_each (leases->controller->jobs, cJSON_GetObjectItemCaseSensitive (event, "returned"), task_returned,
                   lessee);
-  if (name)
+  if (returned)
     {
-      HzbMachine *machine = hzb_machines_find (controller->machines, name);
+      HzbMachine *machine = hzb_machines_find (controller->machines, returned->name);
       if (machine && machine->state == HZB_MACHINE_LEASED && machine->lessee == lessee->id)
-        accept_returned_machine (leases, lessee, machine, event);
+        accept_returned_machine (leases, lessee, machine, returned);
     }
 }
 
@@ -320,6 +318,7 @@
   const cJSON *event;
   cJSON *reply;
   guint64 token = hzb_json_u64 (root, "token");
+  HzbBlockAnswer answer = { .lease_s = LEASE_S };
 
   if (hzb_election_leading (controller->election))
     hzb_blocks_survey (leases, now);
@@ -352,14 +351,13 @@
   if (token && token == lessee->token && hzb_json_u64 (root, "have") < lessee->acknowledged)
     reclaim_block (leases, lessee, "it has lost what it held");
   reply = cJSON_CreateObject ();
-  hzb_json_add_u64 (reply, "term", hzb_election_term (controller->election));
+  answer.term = hzb_election_term (controller->election);
   if (cJSON_HasObjectItem (root, "cancelled"))
     cJSON_AddItemToObject (reply, "heard",
                            hzb_cancellations_handle_request (controller->cancellations,
                                                              cJSON_GetObjectItemCaseSensitive (root, "cancelled")));
-  if (token && (!lessee->token || hzb_token_leader (token) != hzb_election_term (controller->election)))
-    cJSON_AddTrueToObject (reply, "end"); /* what it holds was taken back */
-  else
+  answer.end = token && (!lessee->token || hzb_token_leader (token) != answer.term); /* what it holds was taken back */
+  if (!answer.end)
     {
       if (token)
         {
@@ -378,11 +376,11 @@
           if (!lessee->out.waiting.length)
             hzb_blocks_delegate (leases, lessee, hzb_json_number (root, "room", 0), now);
         }
-      hzb_json_add_u64 (reply, "token", lessee->token);
-      hzb_json_add_u64 (reply, "have", lessee->in_number);
-      cJSON_AddNumberToObject (reply, "leaseS", LEASE_S);
+      answer.token = lessee->token;
+      answer.have = lessee->in_number;
       cJSON_AddItemToObject (reply, "batches", hzb_outbox_pack (&lessee->out, G_MAXSIZE));
     }
+  hzb_block_answer_encode (&answer, reply);
   {
     char *text = cJSON_PrintUnformatted (reply);
     cJSON_Delete (reply);
--- a/src/block-machines.c
+++ b/src/block-machines.c
@@ -41,28 +41,23 @@
   return any;
 }
 
-static cJSON *
-pack_machine (const HzbMachine *machine)
+static void
+push_lease (HzbLesseeView *lessee, const HzbMachineLease *lease)
 {
-  cJSON *body = cJSON_CreateObject ();
-  cJSON_AddStringToObject (body, "machine", machine->name);
-  cJSON_AddStringToObject (body, "addr", machine->addr ? machine->addr : "");
-  cJSON_AddStringToObject (body, "type", machine->type_name);
-  cJSON_AddStringToObject (body, "zone", machine->zone);
-  cJSON_AddBoolToObject (body, "spot", machine->spot);
-  hzb_json_add_u64 (body, "session", machine->session);
-  hzb_json_add_u64 (body, "seq", machine->seq);
-  return body;
+  hzb_outbox_push (&lessee->out, hzb_machine_lease_encode (lease));
 }
 
 /* A lessee may start tasks on a machine as soon as it knows of it, so the machine is on record before. */
 static void
 tell_of_leased_machine (HzbLesseeView *lessee, HzbMachine *machine)
 {
+  g_autoptr (HzbMachineLease) lease = NULL;
+
   if (machine->lease_sent || !machine->recorded)
     return;
   machine->lease_sent = TRUE;
-  hzb_outbox_push (&lessee->out, pack_machine (machine));
+  lease = hzb_machine_lease_new (machine);
+  push_lease (lessee, lease);
 }
 
 /* Machines that are spare are asked back, and left where they are when there is work for them after all. */
@@ -70,17 +65,13 @@
 recall_or_keep (HzbLesseeView *lessee, HzbMachine *machine, gboolean all)
 {
   gboolean back = all || machine->spare || machine->to_be_returned || machine->reserved || machine->recall_at_once;
-  cJSON *body;
+  /* Replicas wait for its room: what runs there comes along, and can be stopped here. */
+  HzbRecall recall = { machine->name, back, machine->reserved || machine->recall_at_once };
 
   if (machine->recall_requested == back || !machine->lease_sent)
     return;
   machine->recall_requested = back;
-  body = cJSON_CreateObject ();
-  cJSON_AddStringToObject (body, back ? "back" : "keep", machine->name);
-  /* Replicas wait for its room: what runs there comes along, and can be stopped here. */
-  if (back && (machine->reserved || machine->recall_at_once))
-    cJSON_AddTrueToObject (body, "now");
-  hzb_outbox_push (&lessee->out, body);
+  hzb_outbox_push (&lessee->out, hzb_recall_encode (&recall));
 }
 
 static void
@@ -198,7 +189,7 @@
   HzbController *controller = leases->controller;
   struct timespec now = hzb_clock_now (controller->clock);
   HzbLesseeView *best;
-  cJSON *body, *holds;
+  g_autoptr (HzbMachineLease) lease = NULL;
 
   hzb_blocks_survey (leases, now);
   /* Nothing waits for the takeover to be over: this machine has just shown all that is on it. */
@@ -222,19 +213,19 @@
   leases->next_hand_over =
       hzb_time_plus (now, MIN (HAND_OVER_EVERY_S, HAND_OVER_ALL_S / controller->machines->all->len));
   hzb_machine_empty_lists (controller->jobs, machine);
-  body = pack_machine (machine);
-  holds = cJSON_AddArrayToObject (body, "holds");
+  lease = hzb_machine_lease_new (machine);
+  lease->holds = hzb_held_tasks_new ();
   while (machine->tasks->len)
     {
       HzbTask *task = machine->tasks->pdata[machine->tasks->len - 1];
       guint before = machine->tasks->len;
-      cJSON_AddItemToArray (holds, hzb_task_pack (task));
+      hzb_held_tasks_add (lease->holds, task);
       task->lessee = best->id;
       hzb_task_set_state (controller->jobs, task, HZB_TASK_DELEGATED, NULL);
       g_return_val_if_fail (machine->tasks->len < before, NULL);
     }
   lease_to (leases, best, machine);
   machine->lease_sent = TRUE;
-  hzb_outbox_push (&best->out, body);
+  push_lease (best, lease);
   return best->peer->node;
 }
--- /dev/null
+++ b/src/block-messages.c
@@ -0,0 +1,224 @@
+#include "block-messages.h"
+
+#include "machines.h"
+#include "wire.h"
+
+/* ---- tasks on machines that change hands ---- */
+
+static void
+held_task_clear (gpointer data)
+{
+  g_free (((HzbHeldTask *) data)->uid);
+}
+
+GArray *
+hzb_held_tasks_new (void)
+{
+  GArray *held = g_array_new (FALSE, TRUE, sizeof (HzbHeldTask));
+  g_array_set_clear_func (held, held_task_clear);
+  return held;
+}
+
+void
+hzb_held_tasks_add (GArray *held, const HzbTask *task)
+{
+  HzbHeldTask added = { g_strdup (task->job->uid), (int) task->index, task->attempt, task->state == HZB_TASK_RUNNING };
+  g_array_append_val (held, added);
+}
+
+static cJSON *
+held_tasks_encode (const GArray *held)
+{
+  cJSON *list = cJSON_CreateArray ();
+  for (guint i = 0; i < held->len; i++)
+    {
+      const HzbHeldTask *task = &g_array_index (held, HzbHeldTask, i);
+      cJSON *item = cJSON_CreateObject ();
+      cJSON_AddStringToObject (item, "job", task->uid);
+      cJSON_AddNumberToObject (item, "task", task->number);
+      hzb_json_add_u64 (item, "attempt", task->attempt);
+      cJSON_AddBoolToObject (item, "runs", task->runs);
+      cJSON_AddItemToArray (list, item);
+    }
+  return list;
+}
+
+/* One that names no job stays, as a task that nobody knows: the machine must not be taken for one without it. */
+static GArray *
+held_tasks_decode (const cJSON *list)
+{
+  GArray *held = hzb_held_tasks_new ();
+  const cJSON *item;
+  cJSON_ArrayForEach (item, list)
+    {
+      HzbHeldTask task = { g_strdup (hzb_json_text (item, "job")), (int) hzb_json_number (item, "task", -1),
+                           hzb_json_u64 (item, "attempt"),
+                           cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (item, "runs")) };
+      g_array_append_val (held, task);
+    }
+  return held;
+}
+
+/* ---- leases ---- */
+
+void
+hzb_machine_lease_free (HzbMachineLease *lease)
+{
+  g_free (lease->name);
+  g_free (lease->addr);
+  g_free (lease->type);
+  g_free (lease->zone);
+  g_clear_pointer (&lease->holds, g_array_unref);
+  g_free (lease);
+}
+
+HzbMachineLease *
+hzb_machine_lease_new (const HzbMachine *machine)
+{
+  HzbMachineLease *lease = g_new0 (HzbMachineLease, 1);
+  lease->name = g_strdup (machine->name);
+  lease->addr = g_strdup (machine->addr);
+  lease->type = g_strdup (machine->type_name);
+  lease->zone = g_strdup (machine->zone);
+  lease->spot = machine->spot;
+  lease->session = machine->session;
+  lease->seq = machine->seq;
+  return lease;
+}
+
+cJSON *
+hzb_machine_lease_encode (const HzbMachineLease *lease)
+{
+  cJSON *message = cJSON_CreateObject ();
+  cJSON_AddStringToObject (message, "machine", lease->name);
+  cJSON_AddStringToObject (message, "addr", lease->addr ? lease->addr : "");
+  cJSON_AddStringToObject (message, "type", lease->type);
+  cJSON_AddStringToObject (message, "zone", lease->zone);
+  cJSON_AddBoolToObject (message, "spot", lease->spot);
+  hzb_json_add_u64 (message, "session", lease->session);
+  hzb_json_add_u64 (message, "seq", lease->seq);
+  if (lease->holds)
+    cJSON_AddItemToObject (message, "holds", held_tasks_encode (lease->holds));
+  return message;
+}
+
+HzbMachineLease *
+hzb_machine_lease_decode (const cJSON *message)
+{
+  const cJSON *holds = cJSON_GetObjectItemCaseSensitive (message, "holds");
+  HzbMachineLease *lease;
+
+  if (!hzb_json_text (message, "machine") || !hzb_json_text (message, "type") || !hzb_json_text (message, "zone"))
+    return NULL;
+  lease = g_new0 (HzbMachineLease, 1);
+  lease->name = g_strdup (hzb_json_text (message, "machine"));
+  lease->addr = g_strdup (hzb_json_text (message, "addr"));
+  lease->type = g_strdup (hzb_json_text (message, "type"));
+  lease->zone = g_strdup (hzb_json_text (message, "zone"));
+  lease->spot = cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (message, "spot"));
+  lease->session = hzb_json_u64 (message, "session");
+  lease->seq = hzb_json_u64 (message, "seq");
+  lease->holds = holds ? held_tasks_decode (holds) : NULL;
+  return lease;
+}
+
+/* ---- returns ---- */
+
+void
+hzb_machine_return_free (HzbMachineReturn *returned)
+{
+  g_free (returned->name);
+  g_free (returned->why);
+  g_array_unref (returned->lost);
+  g_free (returned);
+}
+
+HzbMachineReturn *
+hzb_machine_return_new (const char *name, const char *why, guint64 session, guint64 seq)
+{
+  HzbMachineReturn *returned = g_new0 (HzbMachineReturn, 1);
+  returned->name = g_strdup (name);
+  returned->why = g_strdup (why);
+  returned->session = session;
+  returned->seq = seq;
+  returned->lost = hzb_held_tasks_new ();
+  return returned;
+}
+
+cJSON *
+hzb_machine_return_encode (const HzbMachineReturn *returned)
+{
+  cJSON *message = cJSON_CreateObject ();
+  cJSON_AddStringToObject (message, "machine", returned->name);
+  cJSON_AddStringToObject (message, "why", returned->why);
+  cJSON_AddBoolToObject (message, "sick", returned->sick);
+  hzb_json_add_u64 (message, "session", returned->session);
+  hzb_json_add_u64 (message, "seq", returned->seq);
+  cJSON_AddItemToObject (message, "lost", held_tasks_encode (returned->lost));
+  return message;
+}
+
+HzbMachineReturn *
+hzb_machine_return_decode (const cJSON *message)
+{
+  const char *name = hzb_json_text (message, "machine");
+  HzbMachineReturn *returned;
+
+  if (!name)
+    return NULL;
+  returned = hzb_machine_return_new (name, hzb_json_text (message, "why"), hzb_json_u64 (message, "session"),
+                                     hzb_json_u64 (message, "seq"));
+  returned->sick = cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (message, "sick"));
+  g_array_unref (returned->lost);
+  returned->lost = held_tasks_decode (cJSON_GetObjectItemCaseSensitive (message, "lost"));
+  return returned;
+}
+
+/* ---- recalls ---- */
+
+cJSON *
+hzb_recall_encode (const HzbRecall *recall)
+{
+  cJSON *message = cJSON_CreateObject ();
+  cJSON_AddStringToObject (message, recall->back ? "back" : "keep", recall->machine);
+  if (recall->back && recall->at_once)
+    cJSON_AddTrueToObject (message, "now");
+  return message;
+}
+
+gboolean
+hzb_recall_decode (const cJSON *message, HzbRecall *recall)
+{
+  const char *back = hzb_json_text (message, "back"), *keep = hzb_json_text (message, "keep");
+
+  recall->back = back != NULL;
+  recall->machine = back ? back : keep;
+  recall->at_once = back && cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (message, "now"));
+  return recall->machine != NULL;
+}
+
+/* ---- answers ---- */
+
+void
+hzb_block_answer_encode (const HzbBlockAnswer *answer, cJSON *message)
+{
+  hzb_json_add_u64 (message, "term", answer->term);
+  if (answer->end)
+    {
+      cJSON_AddTrueToObject (message, "end");
+      return;
+    }
+  hzb_json_add_u64 (message, "token", answer->token);
+  hzb_json_add_u64 (message, "have", answer->have);
+  cJSON_AddNumberToObject (message, "leaseS", answer->lease_s);
+}
+
+void
+hzb_block_answer_decode (const cJSON *message, HzbBlockAnswer *answer)
+{
+  answer->term = hzb_json_u64 (message, "term");
+  answer->end = cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (message, "end"));
+  answer->token = hzb_json_u64 (message, "token");
+  answer->have = hzb_json_u64 (message, "have");
+  answer->lease_s = hzb_json_number (message, "leaseS", 0);
+}
--- a/src/lessee.c
+++ b/src/lessee.c
@@ -1,4 +1,5 @@
 /* This node's part as a lessee: the block that the leader has leased to it. lease.c says how leasing goes. */
+#include "block-messages.h"
 #include "controller.h"
 #include "outbox.h"
 
@@ -81,14 +82,9 @@
 hzb_lessee_return_machine (HzbLessee *lessee, HzbMachine *machine, const char *why)
 {
   HzbController *controller = lessee->controller;
-  cJSON *body = cJSON_CreateObject (), *lost;
-
-  cJSON_AddStringToObject (body, "machine", machine->name);
-  cJSON_AddStringToObject (body, "why", why);
-  cJSON_AddBoolToObject (body, "sick", machine->to_be_returned && !machine->recall_requested);
-  hzb_json_add_u64 (body, "session", machine->session);
-  hzb_json_add_u64 (body, "seq", machine->seq);
-  lost = cJSON_AddArrayToObject (body, "lost");
+  g_autoptr (HzbMachineReturn) returned = hzb_machine_return_new (machine->name, why, machine->session, machine->seq);
+
+  returned->sick = machine->to_be_returned && !machine->recall_requested;
   hzb_machine_empty_lists (controller->jobs, machine);
   while (machine->tasks->len)
     {
@@ -98,12 +94,12 @@
         hzb_task_set_state (controller->jobs, task, HZB_TASK_PENDING, NULL);
       else
         {
-          cJSON_AddItemToArray (lost, hzb_task_pack (task));
+          hzb_held_tasks_add (returned->lost, task);
           hzb_task_set_state (controller->jobs, task, HZB_TASK_OTHER_OWNER, NULL);
         }
       g_return_if_fail (machine->tasks->len < before);
     }
-  hzb_outbox_push (&lessee->out, body);
+  hzb_outbox_push (&lessee->out, hzb_machine_return_encode (returned));
   hzb_machine_set_state (controller->machines, machine, HZB_MACHINE_RETURNING, why);
   hzb_machine_set_state (controller->machines, machine, HZB_MACHINE_GONE, "from this block, back to the leader");
   hzb_machines_remove (controller->machines, machine);
@@ -123,108 +119,130 @@
     hzb_task_set_state (jobs, task, HZB_TASK_DONE, NULL);
 }
 
-/* A machine, with the tasks that may be on it. Nothing is concluded from it until it has reported under our token. */
-static void
-receive_machine (HzbLessee *lessee, const cJSON *batch, const char *name)
+/* Every task that may be on the machine is of a job that is known here, and nowhere else in the block. */
+static gboolean
+knows_all_held (HzbLessee *lessee, const HzbMachineLease *lease)
 {
-  HzbController *controller = lessee->controller;
-  const cJSON *holds = cJSON_GetObjectItemCaseSensitive (batch, "holds"), *item;
+  HzbJobs *jobs = lessee->controller->jobs;
   gboolean known = TRUE;
-  HzbMachine *machine;
 
-  cJSON_ArrayForEach (item, holds)
+  for (guint i = 0; lease->holds && i < lease->holds->len; i++)
     {
-      const char *uid = hzb_json_text (item, "job");
-      HzbJob *job = uid ? hzb_jobs_find (controller->jobs, uid) : NULL;
-      HzbTask *task;
+      const HzbHeldTask *held = &g_array_index (lease->holds, HzbHeldTask, i);
+      HzbJob *job = held->uid ? hzb_jobs_find (jobs, held->uid) : NULL;
+      const HzbTask *task;
       if (job && job->state == HZB_JOB_ACCEPTED)
-        hzb_jobs_activate (controller->jobs, job);
-      task = hzb_tasks_find (controller->jobs, uid, (int) hzb_json_number (item, "task", -1));
+        hzb_jobs_activate (jobs, job);
+      task = hzb_tasks_find (jobs, held->uid, held->number);
       known = known && task && task->state == HZB_TASK_OTHER_OWNER;
     }
-  if (!known)
+  return known;
+}
+
+/* It holds a task of a job that is not in this node's mirror yet, or over: back it goes, as it came. */
+static void
+refuse_machine (HzbLessee *lessee, HzbMachineLease *lease)
+{
+  g_autoptr (HzbMachineReturn) returned = hzb_machine_return_new (
+      lease->name, "it holds tasks of jobs that are not known here", lease->session, lease->seq);
+  g_array_unref (returned->lost);
+  returned->lost = g_array_ref (lease->holds);
+  hzb_outbox_push (&lessee->out, hzb_machine_return_encode (returned));
+}
+
+static void
+put_on_machine (HzbLessee *lessee, const HzbHeldTask *held, HzbMachine *machine)
+{
+  HzbJobs *jobs = lessee->controller->jobs;
+  HzbTask *task = hzb_tasks_find (jobs, held->uid, held->number);
+
+  hzb_task_set_state (jobs, task, HZB_TASK_PENDING, NULL);
+  g_queue_remove (&task->job->retry, task);
+  task->attempt = held->attempt;
+  hzb_task_set_state (jobs, task, held->runs ? HZB_TASK_RUNNING : HZB_TASK_FETCHING, machine);
+}
+
+/* A machine, with the tasks that may be on it. Nothing is concluded from it until it has reported under our token. */
+static void
+receive_machine (HzbLessee *lessee, HzbMachineLease *lease)
+{
+  HzbController *controller = lessee->controller;
+  HzbMachine *machine;
+
+  if (!knows_all_held (lessee, lease))
     {
-      /* Of a job that is not in this node's mirror yet, or over: back it goes, as it came. */
-      cJSON *body = cJSON_CreateObject ();
-      cJSON_AddStringToObject (body, "machine", name);
-      cJSON_AddStringToObject (body, "why", "it holds tasks of jobs that are not known here");
-      hzb_json_add_u64 (body, "session", hzb_json_u64 (batch, "session"));
-      hzb_json_add_u64 (body, "seq", hzb_json_u64 (batch, "seq"));
-      cJSON_AddItemToObject (body, "lost", cJSON_Duplicate (holds, TRUE));
-      hzb_outbox_push (&lessee->out, body);
+      refuse_machine (lessee, lease);
       return;
     }
-  machine =
-      hzb_machines_add (controller->machines, name, hzb_json_text (batch, "addr"), hzb_json_text (batch, "type"),
-                        hzb_json_text (batch, "zone"), cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (batch, "spot")),
-                        holds ? HZB_MACHINE_UNVERIFIED : HZB_MACHINE_BOOTING);
+  machine = hzb_machines_add (controller->machines, lease->name, lease->addr, lease->type, lease->zone, lease->spot,
+                              lease->holds ? HZB_MACHINE_UNVERIFIED : HZB_MACHINE_BOOTING);
   machine->recorded = machine->known_to_cloud = TRUE;
   hzb_machine_set_token (machine, lessee->token);
-  machine->session = hzb_json_u64 (batch, "session");
-  machine->seq = hzb_json_u64 (batch, "seq");
+  machine->session = lease->session;
+  machine->seq = lease->seq;
   machine->last_report = hzb_clock_now (controller->clock);
-  cJSON_ArrayForEach (item, holds)
+  for (guint i = 0; lease->holds && i < lease->holds->len; i++)
+    put_on_machine (lessee, &g_array_index (lease->holds, HzbHeldTask, i), machine);
+}
+
+/* Tasks that the leader delegates. Those of jobs that are not in this node's mirror yet, or over, go back. */
+static void
+receive_tasks (HzbLessee *lessee, const cJSON *groups)
+{
+  HzbController *controller = lessee->controller;
+  cJSON *unknown = NULL;
+  const cJSON *group;
+
+  cJSON_ArrayForEach (group, groups)
     {
-      HzbTask *task =
-          hzb_tasks_find (controller->jobs, hzb_json_text (item, "job"), (int) hzb_json_number (item, "task", -1));
-      gboolean runs = cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (item, "runs"));
-      hzb_task_set_state (controller->jobs, task, HZB_TASK_PENDING, NULL);
-      g_queue_remove (&task->job->retry, task);
-      task->attempt = hzb_json_u64 (item, "attempt");
-      hzb_task_set_state (controller->jobs, task, runs ? HZB_TASK_RUNNING : HZB_TASK_FETCHING, machine);
+      HzbJob *job = hzb_jobs_find (controller->jobs, group->string);
+      if (job && job->state == HZB_JOB_ACCEPTED)
+        hzb_jobs_activate (controller->jobs, job);
+      if (job && job->tasks)
+        continue;
+      if (!unknown)
+        unknown = cJSON_CreateObject ();
+      cJSON_AddItemToObject (unknown, group->string, cJSON_Duplicate (group, TRUE));
+    }
+  if (unknown)
+    {
+      cJSON *body = cJSON_CreateObject ();
+      cJSON_AddItemToObject (body, "returned", unknown);
+      hzb_outbox_push (&lessee->out, body);
     }
+  hzb_tasks_each (controller->jobs, groups, task_delegated, controller->jobs);
+}
+
+static void
+apply_recall (HzbLessee *lessee, const HzbRecall *recall)
+{
+  HzbMachine *machine = hzb_machines_find (lessee->controller->machines, recall->machine);
+  if (!machine)
+    return;
+  machine->recall_requested = machine->spare = recall->back;
+  machine->recall_at_once = recall->at_once;
 }
 
 static void
 apply_batch (HzbLessee *lessee, const cJSON *batch)
 {
   HzbController *controller = lessee->controller;
-  const cJSON *tasks = cJSON_GetObjectItemCaseSensitive (batch, "tasks"), *group;
-  const char *name = hzb_json_text (batch, "machine"), *back = hzb_json_text (batch, "back"),
-             *keep = hzb_json_text (batch, "keep");
+  const cJSON *tasks = cJSON_GetObjectItemCaseSensitive (batch, "tasks");
+  g_autoptr (HzbMachineLease) lease = hzb_machine_lease_decode (batch);
+  HzbRecall recall;
   HzbJob *cancelled =
       hzb_json_text (batch, "cancelled") ? hzb_jobs_find (controller->jobs, hzb_json_text (batch, "cancelled")) : NULL;
 
   if (cancelled && cancelled->state == HZB_JOB_ACCEPTED)
     cancelled->state = HZB_JOB_CANCELLED; /* as its record is, which this node may not have seen yet */
   if (tasks)
-    {
-      cJSON *unknown = NULL;
-      cJSON_ArrayForEach (group, tasks)
-        {
-          HzbJob *job = hzb_jobs_find (controller->jobs, group->string);
-          if (job && job->state == HZB_JOB_ACCEPTED)
-            hzb_jobs_activate (controller->jobs, job);
-          if (!job || !job->tasks)
-            {
-              /* Not in this node's mirror yet, or over: back they go. */
-              if (!unknown)
-                unknown = cJSON_CreateObject ();
-              cJSON_AddItemToObject (unknown, group->string, cJSON_Duplicate (group, TRUE));
-            }
-        }
-      if (unknown)
-        {
-          cJSON *body = cJSON_CreateObject ();
-          cJSON_AddItemToObject (body, "returned", unknown);
-          hzb_outbox_push (&lessee->out, body);
-        }
-      hzb_tasks_each (controller->jobs, tasks, task_delegated, controller->jobs);
-    }
+    receive_tasks (lessee, tasks);
   hzb_tasks_each (controller->jobs, cJSON_GetObjectItemCaseSensitive (batch, "durable"), task_durable,
                   controller->jobs);
-  if (name && !hzb_machines_find (controller->machines, name) && hzb_json_text (batch, "type")
-      && hzb_json_text (batch, "zone"))
-    receive_machine (lessee, batch, name);
-  if (back || keep)
-    {
-      HzbMachine *machine = hzb_machines_find (controller->machines, back ? back : keep);
-      if (machine)
-        {
-          machine->recall_requested = machine->spare = back != NULL;
-          machine->recall_at_once = back && cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (batch, "now"));
-        }
-    }
+  if (lease && !hzb_machines_find (controller->machines, lease->name))
+    receive_machine (lessee, lease);
+  if (hzb_recall_decode (batch, &recall))
+    apply_recall (lessee, &recall);
 }
 
 /* The block's term was raised: nothing is concluded from its machines until they have reported under it. */
@@ -240,55 +258,78 @@
     }
 }
 
+/* The answer is to a poll of the ownership that is, and from the leader that is. */
+static gboolean
+answer_counts (const HzbLessee *lessee, const HzbBlockAnswer *answer)
+{
+  const HzbController *controller = lessee->controller;
+  /* Guards against an answer to a poll of before this node let go of its block: it would hold the block again without what
+   * it had been sent before, and the leader would go on believing that all of it is in good hands. */
+  return lessee->asked_epoch == controller->ownership_epoch && !hzb_election_leading (controller->election)
+         && answer->term == hzb_election_leader_term (controller->election);
+}
+
 static void
-on_answer (guint status, const char *body, gsize length, gpointer user)
+apply_batches (HzbLessee *lessee, const cJSON *batches)
 {
-  HzbLessee *lessee = user;
   HzbController *controller = lessee->controller;
-  cJSON *root = status == 200 ? cJSON_ParseWithLength (body, length) : NULL;
-  guint64 term = hzb_json_u64 (root, "term"), token = hzb_json_u64 (root, "token");
   const cJSON *batch;
 
-  lessee->asking = FALSE;
-  if (root)
-    hzb_cancellations_handle_response (controller->cancellations, term,
-                                       cJSON_GetObjectItemCaseSensitive (root, "heard"));
-  /* Guards against an answer to a poll of before this node let go of its block: it would hold the block again without what
-   * it had been sent before, and the leader would go on believing that all of it is in good hands. */
-  if (root && lessee->asked_epoch == controller->ownership_epoch && !hzb_election_leading (controller->election)
-      && term == hzb_election_leader_term (controller->election))
+  cJSON_ArrayForEach (batch, batches)
+    if (hzb_json_u64 (batch, "n") == lessee->in_number + 1)
+      {
+        lessee->in_number++;
+        apply_batch (lessee, batch);
+      }
+  if (!cJSON_GetArraySize (batches))
+    return;
+  hzb_dispatch_run (controller->dispatch, hzb_clock_now (controller->clock));
+  poll_soon (lessee);
+}
+
+static void
+apply_answer (HzbLessee *lessee, const HzbBlockAnswer *answer, const cJSON *batches)
+{
+  HzbController *controller = lessee->controller;
+
+  if (answer->end)
     {
-      if (cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (root, "end")))
-        hzb_controller_end_leased (controller, "the leader took the block back");
-      else if (token
-               && (controller->ownership == HZB_OWNERSHIP_LESSEE
-                   || (controller->ownership == HZB_OWNERSHIP_NONE
-                       && hzb_mirror_state (controller->mirror) == HZB_MIRROR_FOLLOWING)))
-        {
-          if (controller->ownership == HZB_OWNERSHIP_NONE)
-            {
-              lessee->token = token;
-              hzb_controller_begin_leased (controller, token);
-            }
-          else if (controller->ownership == HZB_OWNERSHIP_LESSEE && token > lessee->token)
-            raise_token (lessee, token);
-          lessee->last_answer = hzb_clock_now (controller->clock);
-          /* From when it was asked for: after standing still the answer may be old. */
-          lessee->valid_until = hzb_time_plus (lessee->requests, hzb_json_number (root, "leaseS", 0));
-          hzb_outbox_acknowledged (&lessee->out, hzb_json_u64 (root, "have"));
-          cJSON_ArrayForEach (batch, cJSON_GetObjectItemCaseSensitive (root, "batches"))
-            if (hzb_json_u64 (batch, "n") == lessee->in_number + 1)
-              {
-                lessee->in_number++;
-                apply_batch (lessee, batch);
-              }
-          if (cJSON_GetArraySize (cJSON_GetObjectItemCaseSensitive (root, "batches")))
-            {
-              hzb_dispatch_run (controller->dispatch, hzb_clock_now (controller->clock));
-              poll_soon (lessee);
-            }
-        }
+      hzb_controller_end_leased (controller, "the leader took the block back");
+      return;
+    }
+  if (!answer->token)
+    return;
+  if (controller->ownership == HZB_OWNERSHIP_NONE && hzb_mirror_state (controller->mirror) == HZB_MIRROR_FOLLOWING)
+    {
+      lessee->token = answer->token;
+      hzb_controller_begin_leased (controller, answer->token);
     }
+  else if (controller->ownership != HZB_OWNERSHIP_LESSEE)
+    return;
+  else if (answer->token > lessee->token)
+    raise_token (lessee, answer->token);
+  lessee->last_answer = hzb_clock_now (controller->clock);
+  /* From when it was asked for: after standing still the answer may be old. */
+  lessee->valid_until = hzb_time_plus (lessee->requests, answer->lease_s);
+  hzb_outbox_acknowledged (&lessee->out, answer->have);
+  apply_batches (lessee, batches);
+}
+
+static void
+on_answer (guint status, const char *body, gsize length, gpointer user)
+{
+  HzbLessee *lessee = user;
+  cJSON *root = status == 200 ? cJSON_ParseWithLength (body, length) : NULL;
+  HzbBlockAnswer answer;
+
+  lessee->asking = FALSE;
+  if (!root)
+    return;
+  hzb_block_answer_decode (root, &answer);
+  hzb_cancellations_handle_response (lessee->controller->cancellations, answer.term,
+                                     cJSON_GetObjectItemCaseSensitive (root, "heard"));
+  if (answer_counts (lessee, &answer))
+    apply_answer (lessee, &answer, cJSON_GetObjectItemCaseSensitive (root, "batches"));
   cJSON_Delete (root);
 }
 
--- a/src/outbox.c
+++ b/src/outbox.c
@@ -91,17 +91,6 @@
   return job && job->tasks && index >= 0 && (guint) index < job->n_tasks ? &job->tasks[index] : NULL;
 }
 
-cJSON *
-hzb_task_pack (const HzbTask *task)
-{
-  cJSON *item = cJSON_CreateObject ();
-  cJSON_AddStringToObject (item, "job", task->job->uid);
-  cJSON_AddNumberToObject (item, "task", task->index);
-  hzb_json_add_u64 (item, "attempt", task->attempt);
-  cJSON_AddBoolToObject (item, "runs", task->state == HZB_TASK_RUNNING);
-  return item;
-}
-
 void
 hzb_tasks_add (cJSON *groups, const HzbTask *task)
 {
--- a/src/outbox.h
+++ b/src/outbox.h
@@ -22,6 +22,5 @@
 typedef void (*HzbTaskFunc) (HzbTask *task, gpointer user);
 
 HzbTask *hzb_tasks_find (HzbJobs *jobs, const char *uid, int index); /* NULL: no such task is held here */
-cJSON *hzb_task_pack (const HzbTask *task);                          /* with its attempt, as it may be on a machine */
 void hzb_tasks_add (cJSON *groups, const HzbTask *task);
 void hzb_tasks_each (HzbJobs *jobs, const cJSON *groups, HzbTaskFunc func, gpointer user);
