Real controllers on loopback are killed and started again; fakes behind HTTP stand once; metrics of reconciliations

Need: the cold start was played in the simulated cluster only, and the load tool had its HTTP fakes for itself. Change: real-processes.c has what both need; test-processes kills three controllers under load and starts them; /cold-start/silent-machines also has machines in another session and in no list of the cloud. GET metrics shows the reconciliation's state and quarantine.

--- a/src/admin.c
+++ b/src/admin.c
@@ -325,6 +325,7 @@
                         hzb_http_server_too_large (controller->api_server)
                             + hzb_http_server_too_large (controller->peer_server));
     }
+  hzb_reconciliation_pack_metrics (controller->reconciliation, root);
   return root;
 }
 
--- a/src/reconciliation/reconciliation-admin.c
+++ b/src/reconciliation/reconciliation-admin.c
@@ -112,6 +112,21 @@
   return root;
 }
 
+void
+hzb_reconciliation_pack_metrics (HzbReconciliation *reconciliation, cJSON *metrics)
+{
+  g_autoptr (GPtrArray) quarantined = hzb_quarantine_list (reconciliation->quarantine);
+  cJSON *item;
+
+  if (!reconciliation->controller->settings->reconciliation.enabled)
+    return;
+  item = cJSON_AddObjectToObject (metrics, "reconciliation");
+  cJSON_AddStringToObject (item, "state", hzb_reconciliation_state_name (reconciliation->state));
+  cJSON_AddNumberToObject (item, "undecided", reconciliation->open);
+  cJSON_AddNumberToObject (item, "notDurable", reconciliation->unrecorded);
+  cJSON_AddNumberToObject (item, "quarantined", quarantined->len);
+}
+
 /* ---- requests ---- */
 
 static void
--- a/src/reconciliation/reconciliation-admin.h
+++ b/src/reconciliation/reconciliation-admin.h
@@ -5,7 +5,13 @@
 #pragma once
 #include "http.h"
 
+#include <cjson/cJSON.h>
+
 typedef struct _HzbController HzbController;
+typedef struct _HzbReconciliation HzbReconciliation;
+
+/** hzb_reconciliation_pack_metrics: adds what `GET metrics` says of it, while it is switched on. */
+void hzb_reconciliation_pack_metrics (HzbReconciliation *reconciliation, cJSON *metrics);
 
 /**
  * hzb_reconciliation_admin_request:
--- a/tests/load-workers.c
+++ b/tests/load-workers.c
@@ -4,20 +4,14 @@
  *
  *     target/tests/load-workers --controller target/hazelbank --machines 4000 --seconds 30
  */
-#include "sim-internal.h"
+#include "real-processes.h"
 
-#define SOUP_VERSION_MIN_REQUIRED SOUP_VERSION_2_70
 #include <arpa/inet.h>
 #include <errno.h>
-#include <glib-unix.h>
-#include <libsoup/soup.h>
-#include <signal.h>
 #include <string.h>
 #include <sys/epoll.h>
-#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #define API_PORT 18080
@@ -48,67 +42,6 @@
 static GArray *latencies;
 static guint answers, refusals, losses;
 static int events;
-static gint64 began_us;
-
-static double
-now_s (void)
-{
-  return (double) (g_get_monotonic_time () - began_us) / 1e6;
-}
-
-/* ---- the fakes, behind HTTP ---- */
-
-static void
-on_fake_answer (guint status, const char *body, gsize length, gpointer user)
-{
-  gpointer *pair = user;
-  soup_message_set_status (pair[1], status);
-  soup_message_set_response (pair[1], "application/json", SOUP_MEMORY_COPY, body, length);
-  soup_server_unpause_message (pair[0], pair[1]);
-  g_object_unref (pair[1]);
-  g_free (pair);
-}
-
-static void
-on_fake_request (SoupServer *server, SoupMessage *message, const char *path, GHashTable *query,
-                 SoupClientContext *client, gpointer store)
-{
-  SimCall *call = g_new0 (SimCall, 1);
-  gpointer *pair = g_new0 (gpointer, 2);
-  g_autoptr (SoupBuffer) body = soup_message_body_flatten (message->request_body);
-
-  pair[0] = server;
-  pair[1] = g_object_ref (message);
-  call->method = g_strdup (message->method);
-  call->addr = g_strdup (store ? SIM_STORE_ADDRESS : SIM_CLOUD_ADDRESS);
-  call->path = soup_uri_to_string (soup_message_get_uri (message), TRUE);
-  call->body = g_strndup (body->data, body->length);
-  call->done = on_fake_answer;
-  call->user = pair;
-  call->refs = 1;
-  soup_server_pause_message (server, message);
-  if (store)
-    sim_store_request (sim, call);
-  else
-    sim_cloud_request (sim, call);
-}
-
-static void
-serve (guint port, gboolean store)
-{
-  g_autoptr (GError) error = NULL;
-  SoupServer *server = soup_server_new (NULL, NULL);
-  soup_server_add_handler (server, NULL, on_fake_request, GINT_TO_POINTER (store), NULL);
-  if (!soup_server_listen_local (server, port, SOUP_SERVER_LISTEN_IPV4_ONLY, &error))
-    g_error ("port %u: %s", port, error->message);
-}
-
-static gboolean
-on_turn (gpointer data)
-{
-  sim_run (sim, now_s ());
-  return G_SOURCE_CONTINUE;
-}
 
 /* ---- workers ---- */
 
@@ -120,7 +53,7 @@
   worker->fd = -1;
   worker->asking = FALSE;
   worker->read = 0;
-  worker->next_s = now_s () + retry_s;
+  worker->next_s = real_now_s () + retry_s;
 }
 
 static gboolean
@@ -158,7 +91,7 @@
   sent = send (worker->fd, request, strlen (request), MSG_NOSIGNAL);
   if (sent != (gssize) strlen (request))
     {
-      worker->next_s = now_s () + 0.02; /* the connection is not there yet */
+      worker->next_s = real_now_s () + 0.02; /* the connection is not there yet */
       if (errno != EAGAIN && errno != ENOTCONN)
         {
           losses++;
@@ -167,7 +100,7 @@
       return;
     }
   worker->asking = TRUE;
-  worker->asked_s = now_s ();
+  worker->asked_s = real_now_s ();
 }
 
 /* Guards of the protocol that are not needed here are left out: these workers run nothing. */
@@ -175,7 +108,7 @@
 take_answer (Worker *worker, const char *body)
 {
   guint status = (guint) g_ascii_strtoull (worker->input + strlen ("HTTP/1.1 "), NULL, 10);
-  double latency = now_s () - worker->asked_s;
+  double latency = real_now_s () - worker->asked_s;
   cJSON *root = cJSON_Parse (body);
 
   g_array_append_val (latencies, latency);
@@ -189,7 +122,7 @@
   worker->asking = FALSE;
   worker->read = 0;
   if (status == 200)
-    worker->next_s = now_s () + REPORT_S * g_random_double_range (0.75, 1.25);
+    worker->next_s = real_now_s () + REPORT_S * g_random_double_range (0.75, 1.25);
   else
     close_worker (worker, RETRY_S);
 }
@@ -231,12 +164,12 @@
   for (guint i = 0; i < workers->len; i++)
     {
       Worker *worker = &g_array_index (workers, Worker, i);
-      if (worker->asking && now_s () - worker->asked_s > ANSWER_WITHIN_S)
+      if (worker->asking && real_now_s () - worker->asked_s > ANSWER_WITHIN_S)
         {
           losses++;
           close_worker (worker, RETRY_S);
         }
-      else if (!worker->asking && now_s () >= worker->next_s)
+      else if (!worker->asking && real_now_s () >= worker->next_s)
         send_report (worker);
     }
   return G_SOURCE_CONTINUE;
@@ -247,7 +180,6 @@
 static char *
 write_settings (guint machines)
 {
-  char *path = g_build_filename (g_get_tmp_dir (), "hazelbank-load-XXXXXX", NULL);
   g_autofree char *text = g_strdup_printf (
       "node = \"n0\"\nsite = \"za\"\napi_addr = \"127.0.0.1:%u\"\ncluster_listen = \"127.0.0.1:%u\"\n[external]\n"
       "cloud = \"127.0.0.1:%u\"\nstate = \"127.0.0.1:%u\"\n[cluster]\nsize = 1\nzones = [\"za\", \"zb\"]\n"
@@ -255,29 +187,7 @@
       "[cluster.state]\nrps = 800\nwrite_rps = 70\nvalue_kb = 16\ntxn_ops = 16\n[cluster.cloud]\nrps = 15\nlist_lag_s = 3\n"
       "[cluster.resources]\nsockets = %u\n",
       API_PORT, PEER_PORT, CLOUD_PORT, STORE_PORT, REPORT_S, machines + 200);
-  close (g_mkstemp (path));
-  g_file_set_contents (path, text, -1, NULL);
-  return path;
-}
-
-/* However this tool ends, the controller ends with it. */
-static void
-end_with_parent (gpointer data)
-{
-  prctl (PR_SET_PDEATHSIG, SIGKILL);
-}
-
-static GPid
-start_controller (const char *program, const char *settings)
-{
-  g_autoptr (GError) error = NULL;
-  const char *const arguments[] = { program, "--config", settings, NULL };
-  GPid pid;
-  if (!g_spawn_async (NULL, (char **) arguments, NULL,
-                      G_SPAWN_DO_NOT_REAP_CHILD | G_SPAWN_STDERR_TO_DEV_NULL | G_SPAWN_STDOUT_TO_DEV_NULL,
-                      end_with_parent, NULL, &pid, &error))
-    g_error ("%s", error->message);
-  return pid;
+  return real_write_file (text);
 }
 
 /* Seconds of processor time and MiB of resident memory. */
@@ -297,7 +207,7 @@
 static void
 turn_until (double until_s)
 {
-  while (now_s () < until_s)
+  while (real_now_s () < until_s)
     g_main_context_iteration (NULL, TRUE);
 }
 
@@ -319,7 +229,7 @@
 static double
 measure (const char *what, GPid pid, double seconds)
 {
-  double began = now_s (), all = -1, before, after, memory;
+  double began = real_now_s (), all = -1, before, after, memory;
   guint most_refused = 0;
 
   answers = refusals = losses = 0;
@@ -331,14 +241,14 @@
       worker->refused = worker->most_refused = 0;
     }
   read_usage (pid, &before, &memory);
-  while (now_s () < began + seconds)
+  while (real_now_s () < began + seconds)
     {
       guint answered = 0;
-      turn_until (now_s () + 0.1);
+      turn_until (real_now_s () + 0.1);
       for (guint i = 0; all < 0 && i < workers->len; i++)
         answered += g_array_index (workers, Worker, i).answered;
       if (all < 0 && answered == workers->len)
-        all = now_s () - began;
+        all = real_now_s () - began;
     }
   for (guint i = 0; i < workers->len; i++)
     most_refused = MAX (most_refused, g_array_index (workers, Worker, i).most_refused);
@@ -380,15 +290,9 @@
   if (setrlimit (RLIMIT_NOFILE, &limit) != 0)
     g_printerr ("load-workers: the limit of descriptors stays as it is\n");
   alarm ((guint) (2 * seconds + 60)); /* it stops by itself, whatever happens */
-  began_us = g_get_monotonic_time ();
   size.machines = (guint) machines;
   size.check_s = MOST_SECONDS;
-  sim = sim_new_sized (1, &size);
-  for (guint i = 0; i < SIM_NODES; i++)
-    sim_crash (sim, i); /* the controller is a process */
-  g_sequence_remove_range (g_sequence_get_begin_iter (sim->events), g_sequence_get_end_iter (sim->events));
-  sim->nodes[0].controller = (gpointer) sim; /* somebody is there to be answered; never looked into */
-  sim->nodes[0].life = 0;
+  sim = real_sim_new (1, &size);
   workers = g_array_sized_new (FALSE, TRUE, sizeof (Worker), (guint) machines);
   latencies = g_array_new (FALSE, FALSE, sizeof (double));
   events = epoll_create1 (EPOLL_CLOEXEC);
@@ -402,20 +306,17 @@
       worker.next_s = 2 + g_random_double_range (0, 2);
       g_array_append_val (workers, worker);
     }
-  serve (STORE_PORT, TRUE);
-  serve (CLOUD_PORT, FALSE);
-  g_timeout_add (TURN_MS, on_turn, NULL);
+  real_serve (sim, STORE_PORT, TRUE);
+  real_serve (sim, CLOUD_PORT, FALSE);
   g_timeout_add (TURN_MS, on_workers, NULL);
   settings = write_settings ((guint) machines);
-  pid = start_controller (program, settings);
+  pid = real_start (program, settings, NULL, NULL);
   turn_until (10);
   measure ("at rest", pid, seconds);
-  kill (pid, SIGKILL);
-  waitpid (pid, NULL, 0);
-  pid = start_controller (program, settings);
+  real_kill (pid);
+  pid = real_start (program, settings, NULL, NULL);
   measure ("after it was killed and started again", pid, seconds);
-  kill (pid, SIGKILL);
-  waitpid (pid, NULL, 0);
+  real_kill (pid);
   unlink (settings);
   return 0;
 }
--- /dev/null
+++ b/tests/real-processes.c
@@ -0,0 +1,154 @@
+#include "real-processes.h"
+
+#define SOUP_VERSION_MIN_REQUIRED SOUP_VERSION_2_70
+#include <errno.h>
+#include <fcntl.h>
+#include <libsoup/soup.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define TURN_MS 5
+
+static gint64 began_us;
+
+double
+real_now_s (void)
+{
+  return (double) (g_get_monotonic_time () - began_us) / 1e6;
+}
+
+static gboolean
+on_turn (gpointer sim)
+{
+  sim_run (sim, real_now_s ());
+  return G_SOURCE_CONTINUE;
+}
+
+Sim *
+real_sim_new (guint32 seed, const SimSize *size)
+{
+  Sim *sim = sim_new_sized (seed, size);
+  for (guint i = 0; i < SIM_NODES; i++)
+    sim_crash (sim, i);
+  g_sequence_remove_range (g_sequence_get_begin_iter (sim->events), g_sequence_get_end_iter (sim->events));
+  sim->nodes[0].controller = (gpointer) sim; /* somebody is there to be answered; never looked into */
+  sim->nodes[0].life = 0;
+  began_us = g_get_monotonic_time ();
+  g_timeout_add (TURN_MS, on_turn, sim);
+  return sim;
+}
+
+/* ---- the fakes, behind HTTP ---- */
+
+/* A request that a fake has not answered yet. */
+typedef struct
+{
+  Sim *sim;
+  gboolean store;
+  SoupServer *server;
+  SoupMessage *message;
+} FakeRequest;
+
+static void
+on_fake_answer (guint status, const char *body, gsize length, gpointer user)
+{
+  FakeRequest *request = user;
+  soup_message_set_status (request->message, status);
+  soup_message_set_response (request->message, "application/json", SOUP_MEMORY_COPY, body, length);
+  soup_server_unpause_message (request->server, request->message);
+  g_object_unref (request->message);
+  g_free (request);
+}
+
+static void
+on_fake_request (SoupServer *server, SoupMessage *message, const char *path, GHashTable *query,
+                 SoupClientContext *client, gpointer data)
+{
+  SimCall *call = g_new0 (SimCall, 1);
+  FakeRequest *request = g_memdup2 (data, sizeof *request);
+  g_autoptr (SoupBuffer) body = soup_message_body_flatten (message->request_body);
+
+  request->server = server;
+  request->message = g_object_ref (message);
+  call->method = g_strdup (message->method);
+  call->addr = g_strdup (request->store ? SIM_STORE_ADDRESS : SIM_CLOUD_ADDRESS);
+  call->path = soup_uri_to_string (soup_message_get_uri (message), TRUE);
+  call->body = g_strndup (body->data, body->length);
+  call->done = on_fake_answer;
+  call->user = request;
+  call->refs = 1;
+  soup_server_pause_message (server, message);
+  if (request->store)
+    sim_store_request (request->sim, call);
+  else
+    sim_cloud_request (request->sim, call);
+}
+
+void
+real_serve (Sim *sim, guint port, gboolean store)
+{
+  g_autoptr (GError) error = NULL;
+  SoupServer *server = soup_server_new (NULL, NULL);
+  FakeRequest *kind = g_new0 (FakeRequest, 1);
+
+  kind->sim = sim;
+  kind->store = store;
+  soup_server_add_handler (server, NULL, on_fake_request, kind, g_free);
+  if (!soup_server_listen_local (server, port, SOUP_SERVER_LISTEN_IPV4_ONLY, &error))
+    g_error ("port %u: %s", port, error->message);
+}
+
+/* ---- controllers ---- */
+
+/* However this process ends, the controller ends with it. */
+static void
+set_up_child (gpointer log)
+{
+  int file = log ? open (log, O_WRONLY | O_CREAT | O_APPEND, 0600) : open ("/dev/null", O_WRONLY);
+  if (file >= 0)
+    dup2 (file, STDERR_FILENO);
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
+}
+
+GPid
+real_start (const char *program, const char *settings, const char *features, const char *log)
+{
+  g_autoptr (GError) error = NULL;
+  const char *const plain[] = { program, "--config", settings, NULL };
+  const char *const with_features[] = { program, "--features", features, "--config", settings, NULL };
+  GPid pid;
+
+  if (!g_spawn_async (NULL, (char **) (features ? with_features : plain), NULL,
+                      G_SPAWN_DO_NOT_REAP_CHILD | G_SPAWN_STDOUT_TO_DEV_NULL, set_up_child, (gpointer) log, &pid,
+                      &error))
+    g_error ("%s", error->message);
+  return pid;
+}
+
+void
+real_kill (GPid pid)
+{
+  kill (pid, SIGKILL);
+  while (waitpid (pid, NULL, 0) < 0 && errno == EINTR)
+    ;
+}
+
+char *
+real_write_file (const char *text)
+{
+  char *path = g_build_filename (g_get_tmp_dir (), "hazelbank-real-XXXXXX", NULL);
+  g_autoptr (GError) error = NULL;
+  close (g_mkstemp (path));
+  if (!g_file_set_contents (path, text, -1, &error))
+    g_error ("%s", error->message);
+  return path;
+}
+
+void
+real_turn_until (Sim *sim, double until_s)
+{
+  while (sim->now < until_s)
+    g_main_context_iteration (NULL, TRUE);
+}
--- a/tests/sim-cloud.c
+++ b/tests/sim-cloud.c
@@ -104,7 +104,7 @@
         {
           const SimMachine *machine = sim->machines->pdata[i];
           cJSON *item;
-          if (sim->now < machine->listed_at || sim->now > machine->gone_at + 3
+          if (machine->unlisted || sim->now < machine->listed_at || sim->now > machine->gone_at + 3
               || (since && strcmp (machine->name, since) <= 0))
             continue;
           if (n++ == 500)
--- a/tests/sim-cluster.c
+++ b/tests/sim-cluster.c
@@ -83,6 +83,15 @@
     sim->spent_us[part] += g_get_monotonic_time () - sim->entered_us;
 }
 
+void
+sim_ask (Sim *sim, guint node, HzbExchange *exchange)
+{
+  if (sim->ask_process)
+    sim->ask_process (sim, node, exchange);
+  else
+    hzb_controller_request (exchange, sim->nodes[node].controller);
+}
+
 static void
 node_tick (Sim *sim, gpointer data)
 {
--- a/tests/sim-cluster.h
+++ b/tests/sim-cluster.h
@@ -44,8 +44,9 @@
 {
   char *name, *type, *zone;
   gboolean spot, up, failed, gone, cut, hung, sick;
-  gboolean deaf;   /* its reports arrive, no answer reaches it */
-  double taken_at; /* the cloud takes it then, and says so; 0: not */
+  gboolean deaf;     /* its reports arrive, no answer reaches it */
+  double taken_at;   /* the cloud takes it then, and says so; 0: not */
+  gboolean unlisted; /* the cloud's lists leave it out, though it is there */
   double rented, up_at, listed_at, gone_at, cpus;
   guint64 session, seq, token;
   double lease_from, next_report;
@@ -146,6 +147,8 @@
   gsize largest_request, largest_reply; /* between controllers, in bytes */
   gboolean measures;                    /* how much processor time controllers take */
   gint64 spent_us[SIM_N_PARTS], entered_us;
+  /* Sends what users and workers ask to a process; NULL: to the controllers here. Takes the exchange. */
+  void (*ask_process) (Sim *sim, guint node, HzbExchange *exchange);
 };
 
 extern const SimSize sim_size_little; /* what sim_new() takes */
--- a/tests/sim-user.c
+++ b/tests/sim-user.c
@@ -146,7 +146,7 @@
     job->asked_cancel = TRUE;
   exchange->length = strlen (exchange->body);
   sim_enter (sim);
-  hzb_controller_request (exchange, sim->nodes[at].controller);
+  sim_ask (sim, at, exchange);
   sim_leave (sim, SIM_PART_USERS);
 }
 
--- a/tests/sim-worker.c
+++ b/tests/sim-worker.c
@@ -262,7 +262,7 @@
   exchange->reply = worker_reply;
   exchange->impl = pair;
   sim_enter (sim);
-  hzb_controller_request (exchange, node->controller);
+  sim_ask (sim, r->node, exchange);
   sim_leave (sim, SIM_PART_REPORTS);
 }
 
--- a/tests/test-cold-start.c
+++ b/tests/test-cold-start.c
@@ -238,7 +238,8 @@
     }
 }
 
-/* Half of the machines are silent through the restart, and back before or after their leases are over; some hear nothing. */
+/* Half of the machines are silent through the restart, and back before or after their leases are over; some hear nothing,
+ * some are in no list of the cloud, some have begun another session. */
 static void
 test_silent_machines (void)
 {
@@ -253,13 +254,23 @@
           SimMachine *machine = sim->machines->pdata[i];
           machine->cut = i % 2 == 0;
           machine->deaf = i % 7 == 1;
+          machine->unlisted = i % 5 == 3; /* the cloud does not show it, and it reports */
+          if (i % 9 == 5)
+            {
+              machine->session++; /* its lease ended, and it has begun another session */
+              machine->seq = 0;
+              g_ptr_array_set_size (machine->tasks, 0);
+            }
         }
       sim->copies = 0.1; /* reports from before the end come after the verdicts */
       sim_run (sim, sim->now + 2);
       start_all (sim, NULL);
       witness_run (witness, back_s[seed % G_N_ELEMENTS (back_s)]);
       for (guint i = 0; i < sim->machines->len; i++)
-        ((SimMachine *) sim->machines->pdata[i])->cut = ((SimMachine *) sim->machines->pdata[i])->deaf = FALSE;
+        {
+          SimMachine *machine = sim->machines->pdata[i];
+          machine->cut = machine->deaf = machine->unlisted = FALSE;
+        }
       finish (sim, witness, "silent machines", seed);
     }
 }
@@ -617,8 +628,9 @@
   static const guint fleets[] = { 50, 600, 1500 };
   for (guint i = 0; g_test_perf () && i < G_N_ELEMENTS (fleets); i++)
     for (guint on = 0; on < 2; on++)
-      for (guint32 seed = 1200; seed < 1210; seed++)
+      for (guint32 seed = 1200; seed < 1220; seed++)
         {
+          double away_s = seed < 1210 ? 2 : 1.2 * (fleets[i] > 100 ? sim_size_large : sim_size_little).lease_s;
           SimSize size = small_size (fleets[i]);
           Sim *sim;
           Witness *witness;
@@ -630,18 +642,19 @@
             g_hash_table_remove_all (witness->begun); /* nothing is decided there */
           written = sim->written;
           rentals = sim->rentals;
-          sim_run (sim, sim->now + 2);
+          sim_run (sim, sim->now + away_s);
           start_all (sim, NULL);
-          witness_run (witness, 58);
+          witness_run (witness, 60 - away_s);
           for (guint k = 0; k < G_N_ELEMENTS (witness->starts); k++)
             {
               busiest = MAX (busiest, witness->starts[k]);
               first += witness->starts[k];
             }
-          g_test_message ("%u machines, seed %u, %s: verdicts %.1f to %.1f s; %u starts in the first minute, %u in the "
-                          "busiest second; %u rental calls; %u changes; %u rules broken",
-                          fleets[i], seed, on ? "on" : "off", witness->first_verdict, witness->last_verdict, first,
-                          busiest, sim->rentals - rentals, sim->written - written, sim->broken->len);
+          g_test_message (
+              "%u machines, seed %u, away %.0f s, %s: verdicts %.1f to %.1f s; %u starts in the first minute, %u in the "
+              "busiest second; %u rental calls; %u changes; %u rules broken",
+              fleets[i], seed, away_s, on ? "on" : "off", witness->first_verdict, witness->last_verdict, first, busiest,
+              sim->rentals - rentals, sim->written - written, sim->broken->len);
           finish (sim, witness, "measure", seed);
         }
 }
--- /dev/null
+++ b/tests/test-processes.c
@@ -0,0 +1,169 @@
+/* Three real controllers on loopback are killed under load and started again: the fakes' rules hold, nothing is lost, and the
+ * controllers say that they have reconciled. The time is the real one, so nothing here depends on how long a step takes. */
+#include "real-processes.h"
+#include "sim-faults.h"
+
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+#define API_PORT 18100u /* of the first controller; its peers' port is the next one */
+#define STORE_PORT 18120u
+#define CLOUD_PORT 18121u
+#define MACHINES 30u
+#define JOBS 24u
+#define LONGEST_S 240.0 /* a machine that is busy with other things is slow */
+
+static const char *program;
+static HzbTransport *client;
+static GPid pids[SIM_NODES];
+
+/* ---- the users' and workers' way to the processes ---- */
+
+static void
+on_reply (guint status, const char *body, gsize length, gpointer user)
+{
+  HzbExchange *exchange = user;
+  gboolean report = g_str_equal (exchange->path, "/hello");
+  /* A worker learns that its connection was refused; a user asks again by itself. */
+  if (status || report)
+    exchange->reply (exchange, status, body, 0);
+  g_free (exchange->method);
+  g_free (exchange->path);
+  g_free (exchange);
+}
+
+static void
+ask_process (Sim *sim, guint node, HzbExchange *exchange)
+{
+  g_autofree char *addr = g_strdup_printf ("127.0.0.1:%u", API_PORT + 2 * node);
+  hzb_send (client, exchange->method, addr, exchange->path, g_steal_pointer (&exchange->body), 4000, on_reply,
+            exchange);
+}
+
+/* ---- controllers ---- */
+
+static char *
+write_settings (guint node, const SimSize *size)
+{
+  g_autoptr (GString) text = g_string_new (NULL);
+
+  g_string_append_printf (text,
+                          "node = \"node-%u\"\nsite = \"za\"\napi_addr = \"127.0.0.1:%u\"\n"
+                          "cluster_listen = \"127.0.0.1:%u\"\n",
+                          node, API_PORT + 2 * node, API_PORT + 2 * node + 1);
+  for (guint i = 0; i < SIM_NODES; i++)
+    if (i != node)
+      g_string_append_printf (text, "[[peers]]\nnode = \"node-%u\"\nsite = \"za\"\naddress = \"127.0.0.1:%u\"\n", i,
+                              API_PORT + 2 * i + 1);
+  g_string_append_printf (text,
+                          "[external]\ncloud = \"127.0.0.1:%u\"\nstate = \"127.0.0.1:%u\"\n[cluster]\nsize = 3\n"
+                          "zones = [\"za\", \"zb\"]\nskew_ms = 5\n[cluster.workers]\nreport_s = %g\nlease_s = %g\n"
+                          "cancel_s = %g\n[cluster.state]\nrps = %g\nwrite_rps = %g\nvalue_kb = 16\ntxn_ops = %u\n"
+                          "[cluster.state.next]\nvalue_kb = 2\n[cluster.cloud]\nrps = %g\nlist_lag_s = 3\n",
+                          CLOUD_PORT, STORE_PORT, size->report_s, size->lease_s, size->cancel_s, size->store_rps,
+                          size->store_write_rps, size->txn_ops, size->cloud_rps);
+  for (guint i = 0; i < 2; i++)
+    g_string_append_printf (text, "[[cluster.teams]]\nname = \"%s\"\ncpus = %g\ncpus_max = %g\n", i ? "blue" : "red",
+                            size->team_guarantee, size->team_max);
+  return real_write_file (text->str);
+}
+
+static void
+start_controllers (Sim *sim, char *const *settings, const char *features, const char *log)
+{
+  for (guint i = 0; i < SIM_NODES; i++)
+    {
+      pids[i] = real_start (program, settings[i], features, log);
+      sim->nodes[i].controller = (gpointer) sim; /* never looked into */
+    }
+}
+
+static void
+kill_controllers (Sim *sim)
+{
+  for (guint i = 0; i < SIM_NODES; i++)
+    {
+      real_kill (pids[i]);
+      sim->nodes[i].controller = i ? NULL : sim->nodes[i].controller; /* the first stands for the fakes' callers */
+    }
+}
+
+static guint
+unfinished (const Sim *sim)
+{
+  guint n = 0;
+  for (guint i = 0; i < sim->jobs->len; i++)
+    n += !((SimJob *) sim->jobs->pdata[i])->told_done;
+  return n;
+}
+
+static void
+test_cold_start (void)
+{
+  SimSize size = sim_size_little;
+  char *settings[SIM_NODES];
+  g_autofree char *features = real_write_file ("[reconciliation]\nenabled = true\npace_s = 5\n");
+  g_autofree char *log = real_write_file (""), *logged = NULL;
+  Sim *sim;
+  double killed;
+
+  size.machines = MACHINES;
+  size.team_max = 4 * MACHINES;
+  size.lease_s = 30; /* nothing ends because this machine is busy with other things */
+  size.check_s = 0.1;
+  size.cancel_s = 60;
+  sim = real_sim_new (1300, &size);
+  client = hzb_http_client_new ();
+  sim->ask_process = ask_process;
+  real_serve (sim, STORE_PORT, TRUE);
+  real_serve (sim, CLOUD_PORT, FALSE);
+  for (guint i = 0; i < SIM_NODES; i++)
+    settings[i] = write_settings (i, &size);
+  for (guint i = 0; i < MACHINES; i++)
+    sim_add_machine (sim, i % 3 ? "small" : "big", i % 2 ? "za" : "zb", TRUE, 2);
+  start_controllers (sim, settings, features, log);
+  for (guint i = 0; i < JOBS; i++)
+    sim_add_job (sim, 3 + 0.1 * i, i % 2 ? "red" : "blue", 3 + i % 5, 1, 15);
+  while (tasks_running (sim) < MACHINES && sim->now < LONGEST_S)
+    real_turn_until (sim, sim->now + 0.1);
+  g_assert_cmpuint (tasks_running (sim), >=, MACHINES);
+  killed = sim->now;
+  kill_controllers (sim);
+  real_turn_until (sim, sim->now + 2);
+  start_controllers (sim, settings, features, log);
+  while (unfinished (sim) && sim->now < LONGEST_S)
+    real_turn_until (sim, sim->now + 0.1);
+  g_test_message ("killed at %.1f s, all %u jobs were over at %.1f s; %u tasks were started", killed, JOBS, sim->now,
+                  sim->started);
+  expect_no_fault (sim, "a cold start of processes", 1300);
+  g_assert_cmpuint (unfinished (sim), ==, 0);
+  kill_controllers (sim);
+  g_assert_true (g_file_get_contents (log, &logged, NULL, NULL));
+  g_assert_nonnull (strstr (logged, "detecting -> collecting: all-ended"));
+  g_assert_nonnull (strstr (logged, "deciding -> recorded"));
+  g_assert_null (strstr (logged, "illegal change"));
+  unlink (features);
+  unlink (log);
+  for (guint i = 0; i < SIM_NODES; i++)
+    {
+      unlink (settings[i]);
+      g_free (settings[i]);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_log_set_always_fatal (G_LOG_LEVEL_ERROR);
+  alarm ((guint) LONGEST_S + 60); /* it stops by itself, whatever happens */
+  if (argc != 2)
+    {
+      g_printerr ("usage: test-processes CONTROLLER\n");
+      return 2;
+    }
+  program = argv[1];
+  g_test_add_func ("/processes/cold-start", test_cold_start);
+  return g_test_run ();
+}
