--- a/src/peers.c
+++ b/src/peers.c
@@ -4,6 +4,7 @@
  * when that began, and counts: what is not the newest of its kind is refused, whoever it is from. */
 #include "controller.h"
 #include "heartbeat.h"
+#include "known-marks.h"
 
 #include <string.h>
 
@@ -16,7 +17,6 @@
 /* The longest time in which a controller that learns of nothing may still answer a worker, and the worker take the answer:
  * what it knows may be so old, workers drop answers after 4 s, and clocks drift apart a little. */
 #define WITHHELD_AFTER_S (HZB_CANCELLATIONS_KNOWN_S + 4.0 + 1.0)
-#define MOST_MARKS 40u /* one a second and more */
 #define REDIRECTS_S 3.0
 #define LOST_WORKERS_S 120.0
 #define BORN_SLACK_MS 1000u /* times of day differ a little */
@@ -51,13 +51,6 @@
   struct timespec told;
 } Shown;
 
-/* From this time on all controllers but one knew the cancellations up to the revision. */
-typedef struct
-{
-  struct timespec since;
-  guint64 revision;
-} KnownMark;
-
 struct _HzbPeers
 {
   HzbController *controller;
@@ -69,8 +62,7 @@
   guint64 born, number;
   struct timespec next;
   struct timespec current_as_of; /* see hzb_peers_current_as_of() */
-  GQueue known_marks;            /* KnownMark, rising, of the last WITHHELD_AFTER_S */
-  guint64 withheld_revision;
+  HzbKnownMarks known_marks;
 };
 
 HzbPeers *
@@ -83,6 +75,7 @@
   peers->display = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   peers->retired = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   peers->views = g_array_new (FALSE, TRUE, sizeof (View));
+  hzb_known_marks_init (&peers->known_marks, WITHHELD_AFTER_S);
   for (guint i = 0; i < controller->settings->peers->len; i++)
     {
       View view = { .peer = controller->settings->peers->pdata[i], .store_silence = 1e6 };
@@ -97,7 +90,7 @@
   for (guint i = 0; i < peers->views->len; i++)
     g_free (g_array_index (peers->views, View, i).incarnation);
   g_array_unref (peers->views);
-  g_queue_clear_full (&peers->known_marks, g_free);
+  hzb_known_marks_clear (&peers->known_marks);
   g_hash_table_unref (peers->display);
   g_hash_table_unref (peers->retired);
   g_free (peers);
@@ -263,7 +256,7 @@
 guint64
 hzb_peers_withheld_revision (HzbPeers *peers)
 {
-  return peers->withheld_revision;
+  return peers->known_marks.withheld_revision;
 }
 
 /* The highest revision up to which all controllers but one know all cancellations, if that one withholds its answers once it
@@ -292,52 +285,11 @@
   return withholds ? MIN (second, hzb_mirror_revision (peers->controller->mirror)) : 0;
 }
 
-/* Guards against changes of leader: whoever has begun anew goes on from what the others had seen. A mark that another one makes
- * needless is dropped. */
-static gint
-compare_marks (gconstpointer a, gconstpointer b, gpointer user)
-{
-  const KnownMark *x = a, *y = b;
-  return x->revision < y->revision ? -1 : x->revision > y->revision;
-}
-
-static void
-add_known_mark (HzbPeers *peers, struct timespec since, guint64 revision)
-{
-  GList *next;
-  KnownMark *added;
-
-  if (revision <= peers->withheld_revision || peers->known_marks.length >= MOST_MARKS)
-    return;
-  for (GList *l = peers->known_marks.head; l; l = next)
-    {
-      KnownMark *mark = l->data;
-      next = l->next;
-      if (mark->revision >= revision && !hzb_time_before (since, mark->since))
-        return;
-      if (mark->revision <= revision && !hzb_time_before (mark->since, since))
-        {
-          g_free (mark);
-          g_queue_delete_link (&peers->known_marks, l);
-        }
-    }
-  added = g_new0 (KnownMark, 1);
-  added->since = since;
-  added->revision = revision;
-  g_queue_insert_sorted (&peers->known_marks, added, compare_marks, NULL);
-}
-
 static void
 note_known_revisions (HzbPeers *peers, struct timespec now)
 {
-  const KnownMark *mark;
-
-  add_known_mark (peers, now, revision_known_but_to_one (peers));
-  while ((mark = g_queue_peek_head (&peers->known_marks)) && hzb_time_between (mark->since, now) > WITHHELD_AFTER_S)
-    {
-      peers->withheld_revision = mark->revision;
-      g_free (g_queue_pop_head (&peers->known_marks));
-    }
+  hzb_known_marks_add (&peers->known_marks, now, revision_known_but_to_one (peers));
+  hzb_known_marks_advance (&peers->known_marks, now);
 }
 
 gboolean
@@ -450,13 +402,13 @@
         hzb_heartbeat_add_peer_state (heartbeat, view->peer->node, born, known_revision_of (view),
                                       withholds_answers (view));
     }
-  for (GList *l = peers->known_marks.head; l; l = l->next)
+  for (GList *l = peers->known_marks.marks.head; l; l = l->next)
     {
-      const KnownMark *mark = l->data;
+      const HzbSinceMark *mark = l->data;
       HzbKnownMark said = { mark->revision, hzb_time_between (mark->since, now) };
       g_array_append_val (heartbeat->known_marks, said);
     }
-  heartbeat->withheld_revision = peers->withheld_revision;
+  heartbeat->withheld_revision = peers->known_marks.withheld_revision;
 }
 
 /* Of a process that this one has heard itself nobody else has to tell. */
@@ -480,11 +432,11 @@
 
   for (guint i = 0; i < heartbeat->peer_states->len; i++)
     take_peer_state (peers, &g_array_index (heartbeat->peer_states, HzbPeerState, i));
-  peers->withheld_revision = MAX (peers->withheld_revision, heartbeat->withheld_revision);
+  hzb_known_marks_raise (&peers->known_marks, heartbeat->withheld_revision);
   for (guint i = 0; i < heartbeat->known_marks->len; i++)
     {
       const HzbKnownMark *mark = &g_array_index (heartbeat->known_marks, HzbKnownMark, i);
-      add_known_mark (peers, hzb_time_plus (now, -mark->age_s), mark->revision);
+      hzb_known_marks_add (&peers->known_marks, hzb_time_plus (now, -mark->age_s), mark->revision);
     }
 }
 
