Reconciliation: after a conflict the next try is conditional on the record as it is now; tests hold it to the limits of the state service

Need: a record that had changed since it was read would have been conflicted with for ever; not seen, found by reading. Change: what was read decides the next condition. /cold-start/under-load and store-and-leaders now enforce the changes of a transaction, too.

--- a/src/reconciliation/recorder.c
+++ b/src/reconciliation/recorder.c
@@ -87,15 +87,16 @@
   g_autofree HzbEpochCall *epoch_call = user;
   HzbReconciliation *reconciliation = epoch_call->controller->reconciliation;
   HzbItem item = { 0 };
+  gboolean known;
 
   if (epoch_call->epoch != epoch_call->controller->ownership_epoch)
     return;
-  if (result == HZB_STORE_OK && hzb_wire_parse_item (body, &item)
-      && hzb_json_u64 (item.value, "term") == reconciliation->record.term)
-    {
-      reconciliation->record_version = reconciliation->record_durable ? reconciliation->record_version : item.version;
-      written (reconciliation);
-    }
+  known = result == HZB_STORE_ABSENT || (result == HZB_STORE_OK && hzb_wire_parse_item (body, &item));
+  /* Until it is durable it is the record that was read: what is there now is what the next try is conditional on. */
+  if (known && !reconciliation->record_durable)
+    reconciliation->record_version = item.version;
+  if (known && item.value && hzb_json_u64 (item.value, "term") == reconciliation->record.term)
+    written (reconciliation);
   else
     try_again_later (reconciliation);
   hzb_item_clear (&item);
--- a/tests/test-cold-start.c
+++ b/tests/test-cold-start.c
@@ -276,6 +276,7 @@
   size.features = features;
   sim = cluster_at_work (seed, &size, machines, 60);
   sim->most_value = LEAST_VALUE;
+  sim->most_changes = size.txn_ops;
   witness = end_all (sim);
   written = sim->written;
   sim_run (sim, sim->now + away_s);
@@ -419,6 +420,7 @@
       Witness *witness = end_all (sim);
       sim_run (sim, sim->now + 1);
       start_all (sim, NULL);
+      sim->most_changes = size.txn_ops;
       sim->late_writes = seed % 4 == 0 ? 0.4 : 0;
       witness_run_until (witness, HZB_RECONCILIATION_COLLECTING, 30);
       witness_run (witness, g_rand_double_range (sim->rand, 0, 2));
