--- a/src/provisioning/scale-out.c
+++ b/src/provisioning/scale-out.c
@@ -38,9 +38,9 @@
   hzb_epoch_call_init (&call->epoch_call, dependencies->ownership, provisioning, NULL);
   call->name = g_strdup_printf ("r-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT,
                                 hzb_election_term (dependencies->election), ++provisioning->last_request_number);
-  call->type = g_strdup (request->type->name);
-  call->zone = g_strdup (request->zone);
-  call->spot = request->spot;
+  call->type = g_strdup (request->kind.type->name);
+  call->zone = g_strdup (request->kind.zone);
+  call->spot = request->kind.spot;
   call->count = request->count;
   return call;
 }
@@ -60,15 +60,14 @@
 inform_autoscaler (HzbProvisioning *provisioning, const ScaleOutCall *call, guint granted, struct timespec now)
 {
   const HzbProvisioningDependencies *dependencies = &provisioning->dependencies;
-  HzbScaleOutRequest request = { hzb_machines_find_type (dependencies->machines, call->type), call->zone, call->spot,
-                                 call->count };
+  HzbMachineKind kind = { hzb_machines_find_type (dependencies->machines, call->type), call->zone, call->spot };
 
-  if (!request.type)
+  if (!kind.type)
     return;
   if (granted < call->count)
-    hzb_autoscaler_record_refusal (dependencies->autoscaler, &request, now);
+    hzb_autoscaler_record_refusal (dependencies->autoscaler, &kind, now);
   else
-    hzb_autoscaler_record_grant (dependencies->autoscaler, &request);
+    hzb_autoscaler_record_grant (dependencies->autoscaler, &kind);
 }
 
 static void
--- a/src/scheduling/autoscaler.c
+++ b/src/scheduling/autoscaler.c
@@ -37,16 +37,10 @@
   g_free (autoscaler);
 }
 
-char *
-hzb_machine_kind_name (const HzbMachineType *type, const char *zone, gboolean spot)
-{
-  return g_strdup_printf ("%s %s %s", type->name, zone, spot ? "spot" : "ordinary");
-}
-
 void
-hzb_autoscaler_record_refusal (HzbAutoscaler *autoscaler, const HzbScaleOutRequest *request, struct timespec now)
+hzb_autoscaler_record_refusal (HzbAutoscaler *autoscaler, const HzbMachineKind *kind, struct timespec now)
 {
-  g_autofree char *name = hzb_machine_kind_name (request->type, request->zone, request->spot);
+  g_autofree char *name = hzb_machine_kind_name (kind);
   Refusal *refusal = g_hash_table_lookup (autoscaler->refusals, name);
 
   if (!refusal)
@@ -59,17 +53,18 @@
 }
 
 void
-hzb_autoscaler_record_grant (HzbAutoscaler *autoscaler, const HzbScaleOutRequest *request)
+hzb_autoscaler_record_grant (HzbAutoscaler *autoscaler, const HzbMachineKind *kind)
 {
-  g_autofree char *name = hzb_machine_kind_name (request->type, request->zone, request->spot);
+  g_autofree char *name = hzb_machine_kind_name (kind);
 
   g_hash_table_remove (autoscaler->refusals, name);
 }
 
 gboolean
-hzb_autoscaler_is_refused (const HzbAutoscaler *autoscaler, const char *kind_name, struct timespec now)
+hzb_autoscaler_is_refused (const HzbAutoscaler *autoscaler, const HzbMachineKind *kind, struct timespec now)
 {
-  const Refusal *refusal = g_hash_table_lookup (autoscaler->refusals, kind_name);
+  g_autofree char *name = hzb_machine_kind_name (kind);
+  const Refusal *refusal = g_hash_table_lookup (autoscaler->refusals, name);
 
   return refusal && hzb_time_before (now, refusal->until);
 }
--- a/src/scheduling/autoscaler.h
+++ b/src/scheduling/autoscaler.h
@@ -14,10 +14,8 @@
 /** HzbScaleOutRequest: machines of one kind to be rented by one call to the cloud. */
 typedef struct
 {
-  const HzbMachineType *type; /**< Not owned. */
-  const char *zone;           /**< Not owned: a zone of the type. */
-  gboolean spot;              /**< Spot instances. */
-  guint count;                /**< Number of machines. */
+  HzbMachineKind kind; /**< What to rent. */
+  guint count;         /**< Number of machines. */
 } HzbScaleOutRequest;
 
 /** HzbAutoscaler: the autoscaler of the leader. */
@@ -62,16 +60,12 @@
  */
 GPtrArray *hzb_autoscaler_scale_in (HzbAutoscaler *autoscaler, struct timespec now);
 
-/** hzb_autoscaler_record_refusal: records that the cloud refused the request for lack of machines of this kind. The
+/** hzb_autoscaler_record_refusal: records that the cloud refused a request for lack of machines of this kind. The
  * autoscaler does not request this kind again for 6 to 30 seconds. */
-void hzb_autoscaler_record_refusal (HzbAutoscaler *autoscaler, const HzbScaleOutRequest *request, struct timespec now);
+void hzb_autoscaler_record_refusal (HzbAutoscaler *autoscaler, const HzbMachineKind *kind, struct timespec now);
 
-/** hzb_autoscaler_record_grant: records that the cloud granted the request, which ends the pause for this kind. */
-void hzb_autoscaler_record_grant (HzbAutoscaler *autoscaler, const HzbScaleOutRequest *request);
+/** hzb_autoscaler_record_grant: records that the cloud granted a request, which ends the pause for this kind. */
+void hzb_autoscaler_record_grant (HzbAutoscaler *autoscaler, const HzbMachineKind *kind);
 
-/** hzb_autoscaler_is_refused: whether the kind is not to be requested now, since the cloud refused it lately.
- * `kind_name`: from hzb_machine_kind_name() */
-gboolean hzb_autoscaler_is_refused (const HzbAutoscaler *autoscaler, const char *kind_name, struct timespec now);
-
-/** hzb_machine_kind_name: the name of a kind of machines, a key for hash tables. Returns: (transfer full) */
-char *hzb_machine_kind_name (const HzbMachineType *type, const char *zone, gboolean spot);
+/** hzb_autoscaler_is_refused: whether the kind is not to be requested now, since the cloud refused it lately. */
+gboolean hzb_autoscaler_is_refused (const HzbAutoscaler *autoscaler, const HzbMachineKind *kind, struct timespec now);
--- a/src/scheduling/demand.h
+++ b/src/scheduling/demand.h
@@ -10,14 +10,6 @@
 #pragma once
 #include "autoscaler.h"
 
-/** HzbMachineKind: a kind of machines that the cloud rents out. */
-typedef struct
-{
-  const HzbMachineType *type; /**< Not owned. */
-  const char *zone;           /**< Not owned. */
-  gboolean spot;              /**< Spot instances. */
-} HzbMachineKind;
-
 /** HzbJobDemand: what one job contributes to a demand. */
 typedef struct
 {
@@ -46,10 +38,6 @@
  * to be met */
 GPtrArray *hzb_demand_collect (const HzbAutoscaler *autoscaler, struct timespec now);
 
-/** hzb_machine_kinds: Returns: (transfer full) (element-type HzbMachineKind): all kinds of machines; valid until the
- * list of machine types changes */
-GArray *hzb_machine_kinds (const HzbMachines *machines);
-
 /** hzb_demand_kind_fits: whether machines of this kind can run the work. */
 gboolean hzb_demand_kind_fits (const HzbDemand *demand, const HzbMachineKind *kind);
 
--- a/src/scheduling/machine.c
+++ b/src/scheduling/machine.c
@@ -2,8 +2,6 @@
 
 #include "rounding.h"
 
-#include <math.h>
-
 /* Cost of one second of fetching an image, relative to one second of waiting for the machine: during the fetch, a task
  * occupies room on the machine, but makes no progress. */
 #define FETCH_WEIGHT 2.0
@@ -13,9 +11,6 @@
 
 #define MIN_FETCH_GB_PER_S 1e-3 /* guards a division */
 
-/* Upper bound on the speed of a machine, in tasks at the same time. Applies to jobs that need next to no resources. */
-#define MAX_SPEED 1e6
-
 /* Seconds for which a machine avoids the job that failed on it last. The time is limited so that a job that has failed
  * once on every machine can still start, even if no other task succeeds on those machines. */
 #define AVOID_FAILED_JOB_S 30.0
@@ -171,54 +166,24 @@
          && !machine->scale_in_requested && !machine->scale_in_candidate && !machine->unreachable;
 }
 
-gboolean
-hzb_machine_type_holds (const HzbMachineType *type, const HzbJobSpec *spec)
-{
-  return type->cpus + HZB_QUOTIENT_TOLERANCE >= spec->cpus && type->gpus + HZB_QUOTIENT_TOLERANCE >= spec->gpus
-         && type->memory_gb + HZB_QUOTIENT_TOLERANCE >= spec->memory_gb
-         && (!spec->types || g_strv_contains ((const char *const *) spec->types, type->name));
-}
-
-/* The minimum of @n_tasks and the number of tasks that fit into @capacity if each needs @per_task. */
-static double
-limit_n_tasks (double n_tasks, double capacity, double per_task)
-{
-  return MIN (n_tasks, floor (capacity / per_task + HZB_QUOTIENT_TOLERANCE));
-}
-
-guint
-hzb_machine_type_speed (const HzbMachineType *type, const HzbJobSpec *spec)
-{
-  double speed = MAX_SPEED;
-
-  if (!hzb_machine_type_holds (type, spec))
-    return 0;
-  if (spec->cpus > 0)
-    speed = limit_n_tasks (speed, type->cpus, spec->cpus);
-  if (spec->gpus > 0)
-    speed = limit_n_tasks (speed, type->gpus, spec->gpus);
-  if (spec->memory_gb > 0)
-    speed = limit_n_tasks (speed, type->memory_gb, spec->memory_gb);
-  return (guint) speed;
-}
-
 guint
 hzb_machine_speed (const HzbMachine *machine, const HzbJobSpec *spec)
 {
   double speed = hzb_machine_type_speed (machine->type, spec);
 
   if (machine->service_cpus > HZB_AMOUNT_TOLERANCE && spec->cpus > 0)
-    speed = limit_n_tasks (speed, machine->type->cpus - machine->service_cpus, spec->cpus);
+    speed = MIN (speed, hzb_quotient_floor (machine->type->cpus - machine->service_cpus, spec->cpus));
   if (machine->service_memory_gb > HZB_AMOUNT_TOLERANCE && spec->memory_gb > 0)
-    speed = limit_n_tasks (speed, machine->type->memory_gb - machine->service_memory_gb, spec->memory_gb);
+    speed = MIN (speed, hzb_quotient_floor (machine->type->memory_gb - machine->service_memory_gb, spec->memory_gb));
   return (guint) MAX (speed, 0);
 }
 
 gboolean
 hzb_machine_matches_constraints (const HzbMachine *machine, const HzbJobSpec *spec)
 {
-  return machine->type && hzb_machine_type_holds (machine->type, spec) && (spec->spot || !machine->spot)
-         && (!spec->zone || g_str_equal (spec->zone, machine->zone));
+  HzbMachineKind kind = { machine->type, machine->zone, machine->spot };
+
+  return machine->type && hzb_machine_kind_matches_constraints (&kind, spec);
 }
 
 gboolean
--- a/src/scheduling/machine.h
+++ b/src/scheduling/machine.h
@@ -11,7 +11,7 @@
 #pragma once
 #include "estimate.h"
 #include "job.h"
-#include "machine-type.h"
+#include "machine-kind.h"
 
 /** HzbMachineState: the life cycle of a machine, as this controller knows it. Changed by hzb_machine_set_state()
  * only. */
@@ -200,14 +200,6 @@
 /** hzb_machine_is_usable: whether this controller may start new tasks on the machine, regardless of the job. */
 gboolean hzb_machine_is_usable (const HzbMachine *machine);
 
-/** hzb_machine_type_holds: whether the job allows this machine type and an empty machine of the type has room for one
- * task of the job. */
-gboolean hzb_machine_type_holds (const HzbMachineType *type, const HzbJobSpec *spec);
-
-/** hzb_machine_type_speed: the speed v of the placement rule U + h/v (search.h): how many tasks of the job an empty
- * machine of this type holds at the same time; 0: none. */
-guint hzb_machine_type_speed (const HzbMachineType *type, const HzbJobSpec *spec);
-
 /** hzb_machine_speed: as hzb_machine_type_speed(), less the room of the service replicas on this machine, which do not
  * end by themselves. */
 guint hzb_machine_speed (const HzbMachine *machine, const HzbJobSpec *spec);
--- a/src/scheduling/scale-out.c
+++ b/src/scheduling/scale-out.c
@@ -34,9 +34,8 @@
   for (guint i = 0; i < plan->requests->len; i++)
     {
       const HzbScaleOutRequest *request = &g_array_index (plan->requests, HzbScaleOutRequest, i);
-      HzbMachineKind kind = { request->type, request->zone, request->spot };
-      if (hzb_demand_kind_fits (plan->demand, &kind))
-        plan->supply += request->count * hzb_demand_useful_units (plan->demand, request->type);
+      if (hzb_demand_kind_fits (plan->demand, &request->kind))
+        plan->supply += request->count * hzb_demand_useful_units (plan->demand, request->kind.type);
     }
 }
 
@@ -85,12 +84,12 @@
   for (guint i = 0; i < plan->kinds->len; i++)
     {
       const HzbMachineKind *kind = &g_array_index (plan->kinds, HzbMachineKind, i);
-      g_autofree char *name = hzb_machine_kind_name (kind->type, kind->zone, kind->spot);
+      g_autofree char *name = hzb_machine_kind_name (kind);
       double price =
           hzb_demand_price_with_boot (kind->type, hzb_demand_unit_price (plan->demand, kind->type, kind->spot));
       if (!hzb_demand_kind_fits (plan->demand, kind) || !isfinite (price)
           || g_hash_table_contains (requested_this_round, name)
-          || hzb_autoscaler_is_refused (plan->autoscaler, name, plan->now))
+          || hzb_autoscaler_is_refused (plan->autoscaler, kind, plan->now))
         continue;
       if (price < *lowest)
         {
@@ -108,7 +107,7 @@
 {
   double units = hzb_demand_useful_units (plan->demand, kind->type);
   double shortage = hzb_demand_units (plan->demand, price / plan->lowest_price) - plan->supply;
-  HzbScaleOutRequest request = { kind->type, kind->zone, kind->spot, 0 };
+  HzbScaleOutRequest request = { *kind, 0 };
 
   if (shortage < (plan->supply > 0 ? MIN (MIN_SHORTAGE_UNITS, units * MIN_SHORTAGE_FRACTION) : HZB_AMOUNT_TOLERANCE))
     return 0;
@@ -147,7 +146,7 @@
       if (!count)
         return; /* At the higher prices of the remaining kinds, even fewer units are wanted. */
       maximum_reached = maximum_reached || count == MAX_MACHINES_PER_REQUEST;
-      g_hash_table_add (requested_this_round, hzb_machine_kind_name (kind.type, kind.zone, kind.spot));
+      g_hash_table_add (requested_this_round, hzb_machine_kind_name (&kind));
     }
 }
 
@@ -156,7 +155,7 @@
 {
   GArray *requests = g_array_new (FALSE, FALSE, sizeof (HzbScaleOutRequest));
   g_autoptr (GPtrArray) demands = hzb_demand_collect (autoscaler, now);
-  g_autoptr (GArray) kinds = hzb_machine_kinds (autoscaler->machines);
+  g_autoptr (GArray) kinds = hzb_machine_kinds_new (autoscaler->machines->types);
 
   /* A new leader may not have received the list of machine types from the cloud yet. */
   for (guint i = 0; autoscaler->machines->types && i < demands->len; i++)
--- a/tests/test-dispatch.c
+++ b/tests/test-dispatch.c
@@ -457,14 +457,14 @@
   for (guint i = 0; i < requests->len; i++)
     {
       const HzbScaleOutRequest *r = &g_array_index (requests, HzbScaleOutRequest, i);
-      g_assert_false (r->spot);
-      g_assert_cmpstr (r->zone, ==, "zb");
-      hzb_autoscaler_record_refusal (autoscaler, r, hzb_clock_now (b.clock));
+      g_assert_false (r->kind.spot);
+      g_assert_cmpstr (r->kind.zone, ==, "zb");
+      hzb_autoscaler_record_refusal (autoscaler, &r->kind, hzb_clock_now (b.clock));
     }
   later_requests = hzb_autoscaler_scale_out (autoscaler, hzb_clock_now (b.clock));
   for (guint i = 0; i < later_requests->len; i++) /* a kind that was refused is not requested again at once */
-    g_assert_true (g_array_index (later_requests, HzbScaleOutRequest, i).type
-                   != g_array_index (requests, HzbScaleOutRequest, 0).type);
+    g_assert_true (g_array_index (later_requests, HzbScaleOutRequest, i).kind.type
+                   != g_array_index (requests, HzbScaleOutRequest, 0).kind.type);
   hzb_autoscaler_free (autoscaler);
   bench_clear (&b);
 }
@@ -488,7 +488,7 @@
   g_array_unref (g_steal_pointer (&requests));
   requests = hzb_autoscaler_scale_out (autoscaler, hzb_clock_now (b.clock));
   for (guint i = 0; i < requests->len; i++)
-    requests_big = requests_big || g_str_equal (g_array_index (requests, HzbScaleOutRequest, i).type->name, "big");
+    requests_big = requests_big || g_str_equal (g_array_index (requests, HzbScaleOutRequest, i).kind.type->name, "big");
   g_assert_true (requests_big);
   hzb_autoscaler_free (autoscaler);
   bench_clear (&b);
