Each waiting job is tried on the room of each machine, and what is missing is rented

Cause: the size of the fleet was a comparison of two sums of units.

Change: placement-check tries each waiting job on a list of the room of each machine, with the functions that place tasks, and requests the machines that are missing; machines that hold a waiting job are not returned. Works for every shape, since the check asks what the dispatcher will ask.

--- a/src/scheduling/autoscaler.h
+++ b/src/scheduling/autoscaler.h
@@ -18,6 +18,15 @@
   guint count;         /**< Number of machines. */
 } HzbScaleOutRequest;
 
+/** HzbPlacementPass: the two passes over the waiting jobs in which the autoscaler checks that the machines can hold them,
+ * see placement-check.h. */
+typedef enum
+{
+  HZB_PLACEMENT_PASS_ZONES,  /**< Jobs for which it matters in which zones machines are rented. */
+  HZB_PLACEMENT_PASS_OTHERS, /**< All other jobs. */
+  HZB_N_PLACEMENT_PASSES     /**< Number of passes. */
+} HzbPlacementPass;
+
 /** HzbAutoscaler: the autoscaler of the leader. */
 typedef struct
 {
@@ -30,6 +39,8 @@
                                   objectives leave. */
   double smoothed_units;       /**< Units (CPUs or GPUs, see demand.h) that all demands together want, smoothed over
                                   about twelve seconds, see scale-in.c. */
+  guint first_job_to_try[HZB_N_PLACEMENT_PASSES]; /**< Index in HzbJobs.active at which the next check of placements
+                                                     begins, see placement-check.h. */
 } HzbAutoscaler;
 
 /**
--- a/src/scheduling/demand-units.c
+++ b/src/scheduling/demand-units.c
@@ -3,11 +3,6 @@
 
 #include <math.h>
 
-/* A booting machine counts as supply until it has taken this many times the boot time of its type, and at least the
- * minimum. */
-#define BOOT_ALLOWANCE_FACTOR 2.5
-#define MIN_BOOT_ALLOWANCE_S 30
-
 /* Seconds of use over which the cost of the boot time is spread. */
 #define BOOT_COST_SPREAD_S 80
 
@@ -77,23 +72,6 @@
 
 /* ---- supply ---- */
 
-static gboolean
-is_up_or_booting (const HzbMachine *machine, struct timespec now)
-{
-  switch (machine->state)
-    {
-    case HZB_MACHINE_ACTIVE:
-    case HZB_MACHINE_UNVERIFIED:
-    case HZB_MACHINE_LEASED:
-      return TRUE;
-    case HZB_MACHINE_BOOTING:
-      return hzb_time_between (machine->rented, now)
-             < MAX (MIN_BOOT_ALLOWANCE_S, BOOT_ALLOWANCE_FACTOR * machine->type->boot_s);
-    default:
-      return FALSE;
-    }
-}
-
 double
 hzb_demand_supply (const HzbAutoscaler *autoscaler, const HzbDemand *demand, struct timespec now)
 {
@@ -104,7 +82,7 @@
       const HzbMachine *machine = autoscaler->machines->all->pdata[i];
       if (!machine->type || machine->scale_in_requested || machine->scale_in_candidate
           || !hzb_demand_machine_fits (demand, machine) || (machine->reserved_for_services && !demand->services)
-          || !is_up_or_booting (machine, now))
+          || !hzb_machine_is_up_or_booting (machine, now))
         continue;
       supply += hzb_demand_useful_units (demand, machine->type)
                 - (demand->services || demand->gpus ? 0 : machine->service_cpus);
--- a/src/scheduling/demand.c
+++ b/src/scheduling/demand.c
@@ -121,12 +121,10 @@
 
 /* ---- collection of demands ---- */
 
-/* Returns: seconds from now within which all tasks of the job should have started; 0: at once */
-static double
-start_within_s (const Collection *collection, const HzbJob *job)
+double
+hzb_demand_start_within_s (const HzbAutoscaler *autoscaler, const HzbJob *job, struct timespec now)
 {
-  const HzbAutoscaler *autoscaler = collection->autoscaler;
-  double slack = hzb_job_slack_s (autoscaler->settings, job, collection->now, NULL);
+  double slack = hzb_job_slack_s (autoscaler->settings, job, now, NULL);
 
   if (job->spec->kind == HZB_JOB_GANG || job->spec->kind == HZB_JOB_SERVICE)
     return 0; /* All tasks are needed at the same time. */
@@ -191,7 +189,7 @@
   HzbJobDemand job_demand = { .task_units = task_units, .max_units = runnable * task_units };
 
   job_demand.unit_seconds_left = (tasks - placed * PLACED_DONE_FRACTION) * task_units * hzb_job_mean_s (job);
-  job_demand.start_within_s = start_within_s (collection, job);
+  job_demand.start_within_s = hzb_demand_start_within_s (collection->autoscaler, job, collection->now);
   g_array_append_val (demand->job_demands, job_demand);
   if (spec->cpus > 0)
     demand->memory_per_cpu = MAX (demand->memory_per_cpu, spec->memory_gb / spec->cpus);
--- a/src/scheduling/demand.h
+++ b/src/scheduling/demand.h
@@ -38,6 +38,10 @@
  * to be met */
 GPtrArray *hzb_demand_collect (const HzbAutoscaler *autoscaler, struct timespec now);
 
+/** hzb_demand_start_within_s: Returns: the seconds from `now` within which all tasks of the job should have started; 0:
+ * all of its tasks are needed at once */
+double hzb_demand_start_within_s (const HzbAutoscaler *autoscaler, const HzbJob *job, struct timespec now);
+
 /** hzb_demand_kind_fits: whether machines of this kind can run the work. */
 gboolean hzb_demand_kind_fits (const HzbDemand *demand, const HzbMachineKind *kind);
 
--- a/src/scheduling/machine.c
+++ b/src/scheduling/machine.c
@@ -11,6 +11,11 @@
 
 #define MIN_FETCH_GB_PER_S 1e-3 /* guards a division */
 
+/* A booting machine is expected to finish until it has taken this many times the boot time of its type, and at least the
+ * minimum. */
+#define BOOT_ALLOWANCE_FACTOR 2.5
+#define MIN_BOOT_ALLOWANCE_S 30
+
 /* Seconds for which a machine avoids the job that failed on it last. The time is limited so that a job that has failed
  * once on every machine can still start, even if no other task succeeds on those machines. */
 #define AVOID_FAILED_JOB_S 30.0
@@ -159,6 +164,23 @@
 
 /* ---- placement constraints and speed ---- */
 
+gboolean
+hzb_machine_is_up_or_booting (const HzbMachine *machine, struct timespec now)
+{
+  switch (machine->state)
+    {
+    case HZB_MACHINE_ACTIVE:
+    case HZB_MACHINE_UNVERIFIED:
+    case HZB_MACHINE_LEASED:
+      return TRUE;
+    case HZB_MACHINE_BOOTING:
+      return hzb_time_between (machine->rented, now)
+             < MAX (MIN_BOOT_ALLOWANCE_S, BOOT_ALLOWANCE_FACTOR * (machine->type ? machine->type->boot_s : 0));
+    default:
+      return FALSE;
+    }
+}
+
 gboolean
 hzb_machine_is_usable (const HzbMachine *machine)
 {
--- a/src/scheduling/machine.h
+++ b/src/scheduling/machine.h
@@ -85,6 +85,8 @@
   gboolean scale_in_requested;    /**< The machine is to be returned to the cloud. */
   gboolean scale_in_candidate;    /**< It gets no new tasks, because there are more machines than the work needs. */
   guint plans_in_surplus;         /**< Consecutive plans of the autoscaler in which the machine was surplus. */
+  gboolean held_for_waiting_job;  /**< A waiting job will be placed on it, so it is not returned and does not become a
+                                     scale-in candidate, see placement-check.h. */
   gboolean reserved_for_services; /**< It runs only replicas of services, so that a replica finds room at once. */
   /** @} */
 
@@ -197,6 +199,9 @@
 /** hzb_machine_count_queued_tasks: Returns: the number of tasks in all run queues of the machine */
 guint hzb_machine_count_queued_tasks (const HzbMachine *machine);
 
+/** hzb_machine_is_up_or_booting: whether the machine is up, or is booting and expected to finish. */
+gboolean hzb_machine_is_up_or_booting (const HzbMachine *machine, struct timespec now);
+
 /** hzb_machine_is_usable: whether this controller may start new tasks on the machine, regardless of the job. */
 gboolean hzb_machine_is_usable (const HzbMachine *machine);
 
--- a/src/scheduling/scale-in.c
+++ b/src/scheduling/scale-in.c
@@ -50,7 +50,7 @@
 {
   return (machine->state == HZB_MACHINE_ACTIVE || machine->state == HZB_MACHINE_LEASED) && !machine->scale_in_candidate
          && !machine->scale_in_requested && machine->type && !machine->reserved_for_services
-         && machine->service_cpus <= 0;
+         && !machine->held_for_waiting_job && machine->service_cpus <= 0;
 }
 
 /* Returns: (transfer full) (element-type Candidate): the machines that could be returned, the most expensive first */
@@ -179,7 +179,7 @@
 {
   double idle = hzb_time_between (machine->idle_since, now);
 
-  return machine->state == HZB_MACHINE_ACTIVE && machine->tasks->len == 0
+  return machine->state == HZB_MACHINE_ACTIVE && machine->tasks->len == 0 && !machine->held_for_waiting_job
          && hzb_machine_count_queued_tasks (machine) == 0 && hzb_time_between (machine->rented, now) > MIN_RENTED_S
          && idle > (machine->scale_in_candidate ? MAX_CANDIDATE_IDLE_S : autoscaler->max_idle_s);
 }
--- a/src/scheduling/scale-out.c
+++ b/src/scheduling/scale-out.c
@@ -1,14 +1,9 @@
 #include "demand.h"
-
+#include "placement-check.h"
 #include "rounding.h"
 
 #include <math.h>
 
-#define MAX_MACHINES_PER_REQUEST 50u /* the maximum that the cloud accepts in one call */
-
-/* Calls for all demands together; the next hzb_autoscaler_scale_out() waits for their responses. */
-#define MAX_REQUESTS 8u
-
 /* If there is any supply, a shortage below this fraction of a machine and below this many units is ignored. */
 #define MIN_SHORTAGE_FRACTION 0.25
 #define MIN_SHORTAGE_UNITS 1
@@ -112,14 +107,14 @@
   if (shortage < (plan->supply > 0 ? MIN (MIN_SHORTAGE_UNITS, units * MIN_SHORTAGE_FRACTION) : HZB_AMOUNT_TOLERANCE))
     return 0;
   /* A last machine of which at most this fraction would be used is not requested, unless it is the only one. */
-  request.count = (guint) CLAMP (ceil (shortage / units - MIN_SHORTAGE_FRACTION), 1, MAX_MACHINES_PER_REQUEST);
+  request.count = (guint) CLAMP (ceil (shortage / units - MIN_SHORTAGE_FRACTION), 1, HZB_MAX_MACHINES_PER_REQUEST);
   g_array_append_val (plan->requests, request);
   plan->supply += request.count * units;
   return request.count;
 }
 
 /* Requests machines in rounds, each from the cheapest kind to the most expensive one, until no more units are wanted.
- * One call can request only MAX_MACHINES_PER_REQUEST machines. If a request was that large, another round follows: with
+ * One call can request only HZB_MAX_MACHINES_PER_REQUEST machines. If a request was that large, another round follows: with
  * a single round in each run (at most once a second), a fleet with few kinds would grow too slowly. Every kind that is
  * not refused is requested once before any is requested again, since the cheapest kind may take longest to boot. */
 static void
@@ -128,7 +123,7 @@
   g_autoptr (GHashTable) requested_this_round = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   gboolean maximum_reached = FALSE; /* whether a request of this round reached the maximum of one call */
 
-  while (plan->requests->len < MAX_REQUESTS)
+  while (plan->requests->len < HZB_MAX_SCALE_OUT_REQUESTS)
     {
       HzbMachineKind kind = { 0 };
       double price;
@@ -145,20 +140,18 @@
       count = request_kind (plan, &kind, price);
       if (!count)
         return; /* At the higher prices of the remaining kinds, even fewer units are wanted. */
-      maximum_reached = maximum_reached || count == MAX_MACHINES_PER_REQUEST;
+      maximum_reached = maximum_reached || count == HZB_MAX_MACHINES_PER_REQUEST;
       g_hash_table_add (requested_this_round, hzb_machine_kind_name (&kind));
     }
 }
 
-GArray *
-hzb_autoscaler_scale_out (HzbAutoscaler *autoscaler, struct timespec now)
+/* Requests machines for what the demands lack in units. */
+static void
+meet_demands (HzbAutoscaler *autoscaler, GArray *kinds, GArray *requests, struct timespec now)
 {
-  GArray *requests = g_array_new (FALSE, FALSE, sizeof (HzbScaleOutRequest));
   g_autoptr (GPtrArray) demands = hzb_demand_collect (autoscaler, now);
-  g_autoptr (GArray) kinds = hzb_machine_kinds_new (autoscaler->machines->types);
 
-  /* A new leader may not have received the list of machine types from the cloud yet. */
-  for (guint i = 0; autoscaler->machines->types && i < demands->len; i++)
+  for (guint i = 0; i < demands->len; i++)
     {
       Plan plan = { autoscaler, demands->pdata[i], now, kinds, requests, 0, 0 };
       plan.supply = hzb_demand_supply (autoscaler, plan.demand, now);
@@ -167,5 +160,20 @@
       keep_candidates (&plan);
       request_machines (&plan);
     }
+}
+
+GArray *
+hzb_autoscaler_scale_out (HzbAutoscaler *autoscaler, struct timespec now)
+{
+  GArray *requests = g_array_new (FALSE, FALSE, sizeof (HzbScaleOutRequest));
+  g_autoptr (GArray) kinds = hzb_machine_kinds_new (autoscaler->machines->types);
+  g_auto (HzbPlacementCheck) check = { 0 };
+
+  if (!autoscaler->machines->types)
+    return requests; /* A new leader may not have received the list of machine types from the cloud yet. */
+  hzb_placement_check_init (&check, autoscaler, kinds, requests, now);
+  hzb_placement_check_run (&check, HZB_PLACEMENT_PASS_ZONES);
+  meet_demands (autoscaler, kinds, requests, now);
+  hzb_placement_check_run (&check, HZB_PLACEMENT_PASS_OTHERS);
   return requests;
 }
