The zone of a job with `samePlace` is one that can grant what is missing

Cause: find_required_zone() took the zone with the most CPUs, whatever the cloud refused there. The first machines that a zone granted kept the choice there.

Change: the check of placements chooses the zone where the missing machines cost the least among kinds that were not refused lately, or the zone of tasks that are on machines; the demand of the job follows it. A refused zone has no price, so another one is chosen.

--- a/src/scheduling/demand.c
+++ b/src/scheduling/demand.c
@@ -77,17 +77,30 @@
   return cpus;
 }
 
-/* Returns: (transfer none) (nullable): the only allowed zone for the job's tasks; NULL: any. For a job with
- * `samePlace`, it is the zone with the most CPUs on machines that hold a task, or the first zone of the first fitting
- * type if there are no such machines. */
+/* Returns: (transfer none) (nullable): the zone of a task that is on a machine; NULL: there is none */
 static const char *
-find_required_zone (const HzbMachines *machines, const HzbJobSpec *spec)
+zone_of_placed_tasks (const HzbJob *job)
 {
+  for (guint k = 0; job->placed && k < job->n_tasks; k++)
+    if (hzb_task_on_machine (&job->tasks[k]))
+      return job->tasks[k].machine->zone;
+  return NULL;
+}
+
+/* Returns: (transfer none) (nullable): the only zone in which machines are of use for the job; NULL: any. For a job
+ * with `samePlace` it is the zone of its placed tasks, or the planned one. If there is none, it is the zone with the
+ * most CPUs on machines that hold a task, or the first zone of the first fitting type if there are no such machines. */
+static const char *
+find_required_zone (const HzbMachines *machines, const HzbJob *job)
+{
+  const HzbJobSpec *spec = job->spec;
   const char *best = NULL;
   double best_cpus = -1;
 
   if (spec->zone || !spec->same_zone)
     return spec->zone;
+  if ((best = zone_of_placed_tasks (job)) || (best = job->planned_zone))
+    return best;
   for (guint t = 0; machines->types && t < machines->types->len; t++)
     {
       const HzbMachineType *type = machines->types->pdata[t];
@@ -159,11 +172,12 @@
 /* Returns: (transfer none): the demand for the kinds of machines that can hold a task of the job. Jobs share a demand
  * only if the same kinds fit them: a large task cannot run on small machines. */
 static HzbDemand *
-find_or_add_demand (Collection *collection, const HzbJobSpec *spec)
+find_or_add_demand (Collection *collection, const HzbJob *job)
 {
+  const HzbJobSpec *spec = job->spec;
   const HzbMachines *machines = collection->autoscaler->machines;
   g_autofree char *types = list_fitting_types (machines, spec);
-  const char *zone = find_required_zone (machines, spec);
+  const char *zone = find_required_zone (machines, job);
   g_autofree char *name = g_strdup_printf ("%s%s%s%s%s", types, zone ? "@" : "", zone ? zone : "",
                                            spec->spot ? "" : "!ordinary", spec->gpus > 0 ? "!gpus" : "");
   HzbDemand *demand;
@@ -184,7 +198,7 @@
 add_job_demand (Collection *collection, const HzbJob *job, double tasks, double placed, double runnable)
 {
   const HzbJobSpec *spec = job->spec;
-  HzbDemand *demand = find_or_add_demand (collection, spec);
+  HzbDemand *demand = find_or_add_demand (collection, job);
   double task_units = demand->gpus ? spec->gpus : spec->cpus;
   HzbJobDemand job_demand = { .task_units = task_units, .max_units = runnable * task_units };
 
--- a/src/scheduling/job.c
+++ b/src/scheduling/job.c
@@ -36,6 +36,7 @@
   job->failed_on_several_machines = job->proven_runnable = job->awaits_verdict = FALSE;
   g_clear_pointer (&job->first_failed_machine, g_free);
   job->starved_since = (struct timespec){ 0 };
+  job->planned_zone = NULL;
 }
 
 const char *
--- a/src/scheduling/job.h
+++ b/src/scheduling/job.h
@@ -142,6 +142,13 @@
   struct timespec not_before;          /**< Back-off after failures: no task of the job starts before this time. */
   /** @} */
 
+  /** `name` Scale-out, on the leader only
+   * @{ */
+  const char
+      *planned_zone; /**< (nullable) For a job with `samePlace`: the zone in which machines are rented for it, see
+                               placement-check.h. Interned. */
+  /** @} */
+
   /** `name` Starvation, maintained by hzb_headroom_reserve()
    * @{ */
   guint started_tasks;           /**< Tasks that had started when that function last examined the job. */
--- a/src/scheduling/placement-check.c
+++ b/src/scheduling/placement-check.c
@@ -332,18 +332,47 @@
 
 /* ---- the zone of a job with `samePlace` ---- */
 
-/* Allows one zone only: the one with the most room. */
+/* Returns: the price of the machines that the zone lacks; INFINITY: no kind that could be requested would do */
+static double
+price_of_zone (const Trial *trial, guint zone)
+{
+  guint missing = trial->required - MIN (trial->required, trial->found[zone]);
+  double lowest = INFINITY;
+
+  if (!missing)
+    return 0;
+  if (!trial->allowed[zone])
+    return INFINITY;
+  for (guint i = 0; i < trial->check->kinds->len; i++)
+    {
+      const HzbMachineKind *kind = &g_array_index (trial->check->kinds, HzbMachineKind, i);
+      if (hzb_rooms_zone_index (trial->check->rooms, kind->zone) == zone)
+        lowest = MIN (lowest, price_of_tasks (trial, kind, missing));
+    }
+  return lowest;
+}
+
+/* Allows one zone only: the one where the missing machines cost the least and, of several, the one with the most
+ * room. */
 static void
 choose_zone (Trial *trial)
 {
-  guint n_zones = trial->check->rooms->zones->len, best = 0;
+  const GPtrArray *zones = trial->check->rooms->zones;
+  guint best = 0;
+  double lowest = INFINITY;
 
-  for (guint zone = 0; zone < n_zones; zone++)
-    if (trial->found[zone] > trial->found[best])
+  for (guint zone = 0; zone < zones->len; zone++)
+    {
+      double price = price_of_zone (trial, zone);
+      if (price > lowest || (price == lowest && trial->found[zone] <= trial->found[best]))
+        continue;
+      lowest = price;
       best = zone;
-  for (guint zone = 0; zone < n_zones; zone++)
+    }
+  for (guint zone = 0; zone < zones->len; zone++)
     if (zone != best)
       trial->allowed[zone] = trial->found[zone] = 0;
+  trial->job->planned_zone = g_intern_string (zones->pdata[best]);
 }
 
 /* ---- the run ---- */
--- a/tests/test-placement-check.c
+++ b/tests/test-placement-check.c
@@ -173,6 +173,21 @@
   assert_goes_on (&cluster, add (&cluster, "red", HZB_JOB_GANG, 4, 9, 2));
 }
 
+/* Guards against a gang with `samePlace` that waits for ever in a zone that refuses, while another zone has machines. */
+static void
+test_same_zone_gang_leaves_refusing_zone (void)
+{
+  Cluster cluster;
+  HzbJob *job;
+  cluster_init (&cluster, 3);
+  bench_add_machine (&cluster.bench, "big", "za", FALSE);
+  refuse (&cluster, "big", "za");
+  refuse (&cluster, "small", "za");
+  job = add (&cluster, "red", HZB_JOB_GANG, 3, 12, 2);
+  job->spec->same_zone = TRUE;
+  assert_goes_on (&cluster, job);
+}
+
 /* Guards against a task that waits behind long tasks of another team since less than one CPU was missing. */
 static void
 test_shortage_below_one_cpu (void)
@@ -226,7 +241,8 @@
   job = add (cluster, team, kind, tasks, task_cpus, task_memory_gb);
   job->spec->gpus = gpus;
   job->spec->spot = g_rand_boolean (rand);
-  job->spec->spread = g_rand_int_range (rand, 0, 2) == 0;
+  job->spec->same_zone = g_rand_int_range (rand, 0, 3) == 0;
+  job->spec->spread = !job->spec->same_zone && g_rand_int_range (rand, 0, 2) == 0;
   if (!job->spec->spread && g_rand_int_range (rand, 0, 3) == 0)
     job->spec->zone = g_strdup (g_rand_boolean (rand) ? "za" : "zb");
   return job;
@@ -281,11 +297,11 @@
         {
           const HzbJob *job = jobs->pdata[i];
           if (!goes_on (job))
-            g_test_message ("seed %u, job %u: kind %d, %u tasks of %g CPUs and %g GB, spread %d, zone %s, "
-                            "spot %d; %u run, %u pending, %u queued",
-                            seed, i, job->spec->kind, job->n_tasks, job->spec->cpus, job->spec->memory_gb,
-                            job->spec->spread, job->spec->zone, job->spec->spot, job->running, job->pending,
-                            job->queued);
+            g_test_message (
+                "seed %u, job %u: kind %d, %u tasks of %g CPUs and %g GB, spread %d, same zone %d, zone %s, "
+                "spot %d; %u run, %u pending, %u queued",
+                seed, i, job->spec->kind, job->n_tasks, job->spec->cpus, job->spec->memory_gb, job->spec->spread,
+                job->spec->same_zone, job->spec->zone, job->spec->spot, job->running, job->pending, job->queued);
           g_assert_true (goes_on (job));
         }
       cluster_clear (&cluster);
@@ -298,6 +314,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/placement-check/gang-spread-over-zones", test_gang_spread_over_zones);
   g_test_add_func ("/placement-check/gang-that-does-not-divide-machines", test_gang_that_does_not_divide_machines);
+  g_test_add_func ("/placement-check/same-zone-gang-leaves-refusing-zone", test_same_zone_gang_leaves_refusing_zone);
   g_test_add_func ("/placement-check/shortage-below-one-cpu", test_shortage_below_one_cpu);
   g_test_add_func ("/placement-check/service-of-another-zone", test_service_of_another_zone);
   g_test_add_func ("/placement-check/random-shapes", test_random_shapes);
