Tasks without CPUs count in the demand, and CPUs that no task can use do not

Cause: demand and supply are sums of CPUs. Tasks that take memory only added nothing, and CPUs left over beside tasks that do not divide a machine counted as supply.

With the fix it passes for 0, 9 and 3 CPUs and for much memory.

Change: a task that asks for no unit counts as the part of a machine that it takes where the most of its kind fit; the useful units of a type follow from how many tasks of each job it holds, weighted by what the jobs want, in place of the largest memory per CPU.

--- a/src/scheduling/demand-units.c
+++ b/src/scheduling/demand-units.c
@@ -26,16 +26,49 @@
   return MAX (sum, largest_task);
 }
 
+/* Units of an empty machine of the type, useful or not. */
+static double
+units_of_type (const HzbDemand *demand, const HzbMachineType *type)
+{
+  return demand->gpus ? type->gpus : type->cpus;
+}
+
+double
+hzb_demand_task_units (const HzbDemand *demand, const HzbJobSpec *spec, const GPtrArray *types)
+{
+  double asked = demand->gpus ? spec->gpus : spec->cpus, least = INFINITY;
+
+  for (guint t = 0; asked <= 0 && types && t < types->len; t++)
+    {
+      guint per_machine = hzb_machine_type_speed (types->pdata[t], spec);
+      if (per_machine)
+        least = MIN (least, units_of_type (demand, types->pdata[t]) / per_machine);
+    }
+  return isfinite (least) ? least : asked;
+}
+
+void
+hzb_demand_add_job (HzbDemand *demand, const HzbJobSpec *spec, const GPtrArray *types, const HzbJobDemand *job_demand)
+{
+  double n_tasks = job_demand->task_units > 0 ? job_demand->max_units / job_demand->task_units : 0;
+
+  demand->wanted_units += job_demand->max_units;
+  for (guint t = 0; types && t < types->len; t++)
+    {
+      const HzbMachineType *type = types->pdata[t];
+      guint per_machine = hzb_machine_type_speed (type, spec);
+      if (per_machine)
+        demand->occupied_units[type->index] += n_tasks / per_machine * units_of_type (demand, type);
+    }
+  g_array_append_val (demand->job_demands, *job_demand);
+}
+
 double
 hzb_demand_useful_units (const HzbDemand *demand, const HzbMachineType *type)
 {
-  double cpus = type->cpus;
+  double units = units_of_type (demand, type), occupied = demand->occupied_units[type->index];
 
-  if (demand->gpus)
-    return type->gpus;
-  if (demand->memory_per_cpu > 0)
-    cpus = MIN (cpus, type->memory_gb / demand->memory_per_cpu);
-  return cpus;
+  return occupied > demand->wanted_units ? units * demand->wanted_units / occupied : units;
 }
 
 double
--- a/src/scheduling/demand.c
+++ b/src/scheduling/demand.c
@@ -28,12 +28,13 @@
   HzbDemand *demand = data;
 
   g_free (demand->name);
+  g_free (demand->occupied_units);
   g_array_unref (demand->job_demands);
   g_free (demand);
 }
 
 static HzbDemand *
-demand_new (const HzbJobSpec *spec, const char *zone, char *name)
+demand_new (const HzbJobSpec *spec, const char *zone, char *name, const GPtrArray *types)
 {
   HzbDemand *demand = g_new0 (HzbDemand, 1);
 
@@ -41,6 +42,7 @@
   demand->zone = zone;
   demand->name = name;
   demand->job_demands = g_array_new (FALSE, FALSE, sizeof (HzbJobDemand));
+  demand->occupied_units = g_new0 (double, types ? types->len : 0);
   return demand;
 }
 
@@ -188,7 +190,7 @@
       if (g_str_equal (demand->name, name))
         return demand;
     }
-  demand = demand_new (spec, zone, g_steal_pointer (&name));
+  demand = demand_new (spec, zone, g_steal_pointer (&name), machines->types);
   demand->gpus = spec->gpus > 0;
   g_ptr_array_add (collection->all, demand);
   return demand;
@@ -197,16 +199,15 @@
 static void
 add_job_demand (Collection *collection, const HzbJob *job, double tasks, double placed, double runnable)
 {
-  const HzbJobSpec *spec = job->spec;
+  const HzbAutoscaler *autoscaler = collection->autoscaler;
+  const GPtrArray *types = autoscaler->machines->types;
   HzbDemand *demand = find_or_add_demand (collection, job);
-  double task_units = demand->gpus ? spec->gpus : spec->cpus;
+  double task_units = hzb_demand_task_units (demand, job->spec, types);
   HzbJobDemand job_demand = { .task_units = task_units, .max_units = runnable * task_units };
 
   job_demand.unit_seconds_left = (tasks - placed * PLACED_DONE_FRACTION) * task_units * hzb_job_mean_s (job);
-  job_demand.start_within_s = hzb_demand_start_within_s (collection->autoscaler, job, collection->now);
-  g_array_append_val (demand->job_demands, job_demand);
-  if (spec->cpus > 0)
-    demand->memory_per_cpu = MAX (demand->memory_per_cpu, spec->memory_gb / spec->cpus);
+  job_demand.start_within_s = hzb_demand_start_within_s (autoscaler, job, collection->now);
+  hzb_demand_add_job (demand, job->spec, types, &job_demand);
 }
 
 static void
@@ -240,20 +241,19 @@
 {
   const HzbAutoscaler *autoscaler = collection->autoscaler;
   HzbHeadroom headroom = hzb_headroom_plan (autoscaler->jobs, autoscaler->machines);
-  g_autofree char *types = headroom.spec ? list_fitting_types (autoscaler->machines, headroom.spec) : NULL;
+  const GPtrArray *types = autoscaler->machines->types;
+  g_autofree char *names = headroom.spec ? list_fitting_types (autoscaler->machines, headroom.spec) : NULL;
 
   for (guint z = 0; z < headroom.n_zones; z++)
     {
       const HzbHeadroomZone *zone = &headroom.zones[z];
       HzbDemand *demand =
-          demand_new (headroom.spec, zone->zone, g_strdup_printf ("%s@%s!ordinary!services", types, zone->zone));
+          demand_new (headroom.spec, zone->zone, g_strdup_printf ("%s@%s!ordinary!services", names, zone->zone), types);
       HzbJobDemand job_demand = { .max_units = zone->placed + zone->waiting + zone->free,
                                   .task_units = headroom.spec->cpus };
 
       demand->services = TRUE;
-      if (headroom.spec->cpus > 0)
-        demand->memory_per_cpu = headroom.spec->memory_gb / headroom.spec->cpus;
-      g_array_append_val (demand->job_demands, job_demand);
+      hzb_demand_add_job (demand, headroom.spec, types, &job_demand);
       g_ptr_array_add (collection->all, demand);
     }
 }
--- a/src/scheduling/demand.h
+++ b/src/scheduling/demand.h
@@ -31,7 +31,10 @@
   gboolean services;      /**< Whether the demand is the room kept for replicas of services (headroom.h). Spot machines
                              do not fit such a demand, because the cloud may reclaim them. */
   GArray *job_demands;    /**< (element-type HzbJobDemand) Owned. */
-  double memory_per_cpu;  /**< GB for each CPU, the maximum over its jobs; 0: memory is no constraint. */
+  double wanted_units;    /**< Sum of HzbJobDemand.max_units. */
+  double *occupied_units; /**< By HzbMachineType.index: the units of machines of the type that `wanted_units` would
+                             occupy, unused ones included: a machine has units that no further task can use, if
+                             tasks do not divide it or need more of another resource. Owned. */
 } HzbDemand;
 
 /** hzb_demand_collect: Returns: (transfer full) (element-type HzbDemand): all demands, in the order in which they are
@@ -48,6 +51,18 @@
 /** hzb_demand_machine_fits: whether the machine, whose type must be known, can run the work. */
 gboolean hzb_demand_machine_fits (const HzbDemand *demand, const HzbMachine *machine);
 
+/** hzb_demand_add_job: adds the units of a job.
+ * `spec`: the job's spec; its tasks fit the same machine types as all jobs of the demand
+ * `types`: (nullable) (element-type HzbMachineType): all machine types
+ * `job_demand`: copied */
+void
+hzb_demand_add_job (HzbDemand *demand, const HzbJobSpec *spec, const GPtrArray *types, const HzbJobDemand *job_demand);
+
+/** hzb_demand_task_units: Returns: the units of one task. A task that asks for none counts as the part of a machine that
+ * it takes where the most of its kind fit.
+ * `types`: (nullable) (element-type HzbMachineType): all machine types */
+double hzb_demand_task_units (const HzbDemand *demand, const HzbJobSpec *spec, const GPtrArray *types);
+
 /**
  * hzb_demand_units: the number of units that are worth their price.
  * `price_ratio`: the price of a unit, divided by the lowest price of a unit
@@ -57,8 +72,9 @@
  */
 double hzb_demand_units (const HzbDemand *demand, double price_ratio);
 
-/** hzb_demand_useful_units: the useful units of an empty machine of this type, which are those that the work can use.
- * CPUs for whose tasks the machine has not enough memory are not useful. */
+/** hzb_demand_useful_units: the useful units of an empty machine of this type, which are those that the work can use, on
+ * average over the jobs. CPUs that are left over beside its tasks, or for whose tasks the machine lacks memory, are not
+ * useful. */
 double hzb_demand_useful_units (const HzbDemand *demand, const HzbMachineType *type);
 
 /** hzb_demand_unit_price: price per hour of one useful unit (hzb_demand_useful_units()); INFINITY: the type has no
--- a/tests/test-placement-check.c
+++ b/tests/test-placement-check.c
@@ -216,6 +216,31 @@
   assert_goes_on (&cluster, job);
 }
 
+/* Guards against arrays that get one machine after the other: tasks without CPUs counted for nothing in the demand, and
+ * CPUs that are left over beside tasks counted as supply. The demand of long tasks is for all of them at once. */
+static void
+test_demand_for_all_tasks_at_once (void)
+{
+  static const struct
+  {
+    double cpus, memory_gb;
+    guint tasks;
+  } shapes[] = { { 0, 8, 40 }, { 9, 1, 4 }, { 3, 1, 12 }, { 1, 12, 20 } };
+
+  for (guint i = 0; i < G_N_ELEMENTS (shapes); i++)
+    {
+      Cluster cluster;
+      HzbJob *job;
+      cluster_init (&cluster, 6);
+      job = add (&cluster, "red", HZB_JOB_ARRAY, shapes[i].tasks, shapes[i].cpus, shapes[i].memory_gb);
+      job->spec->types = g_strsplit ("big", ",", 0);
+      rent (&cluster, hzb_clock_now (cluster.bench.clock));
+      g_assert_cmpuint (cluster.n_rented * hzb_machine_type_speed (cluster.bench.machines->types->pdata[0], job->spec),
+                        >=, job->n_tasks);
+      cluster_clear (&cluster);
+    }
+}
+
 /* Adds a job of a random shape. Returns: (nullable): NULL if the team's limit would not allow all of its tasks */
 static HzbJob *
 add_random_job (Cluster *cluster, const char *team, GRand *rand)
@@ -317,6 +342,7 @@
   g_test_add_func ("/placement-check/same-zone-gang-leaves-refusing-zone", test_same_zone_gang_leaves_refusing_zone);
   g_test_add_func ("/placement-check/shortage-below-one-cpu", test_shortage_below_one_cpu);
   g_test_add_func ("/placement-check/service-of-another-zone", test_service_of_another_zone);
+  g_test_add_func ("/placement-check/demand-for-all-tasks-at-once", test_demand_for_all_tasks_at_once);
   g_test_add_func ("/placement-check/random-shapes", test_random_shapes);
   return g_test_run ();
 }
