A gang that is to be spread, and fits machine types of one zone only, is answered 422

What callers would have seen: 201, and a gang that waits without end.

Cause: the check of a submission looked at the zone that a gang names, not at the zones of the types that hold its tasks.

Evidence: /job-admission/gang-spread-over-one-zone failed on the commit before. PROTOCOL asks for 422 if a job "can never run".

--- a/src/api/job-admission.c
+++ b/src/api/job-admission.c
@@ -47,6 +47,25 @@
   return FALSE;
 }
 
+/* Whether machine types that hold a task are rented out in more than one zone. */
+static gboolean
+fits_types_of_several_zones (const HzbMachines *machines, const HzbJobSpec *spec)
+{
+  const char *first_zone = NULL;
+
+  for (guint i = 0; i < machines->types->len; i++)
+    {
+      const HzbMachineType *type = machines->types->pdata[i];
+      for (guint z = 0; hzb_machine_type_holds (type, spec) && type->zones[z]; z++)
+        {
+          if (first_zone && !g_str_equal (first_zone, type->zones[z]))
+            return TRUE;
+          first_zone = type->zones[z];
+        }
+    }
+  return FALSE;
+}
+
 /* Returns: (nullable): the text of the response; NULL if the job can run */
 static const char *
 find_unschedulable_reason (const HzbUserApi *api, const HzbJobSpec *spec)
@@ -68,6 +87,9 @@
     return "a gang that is to be spread can't be in one zone";
   if (!fits_any_machine_type (api->dependencies.machines, spec))
     return "a task fits no allowed machine type";
+  if (spec->kind == HZB_JOB_GANG && spec->spread && spec->tasks > 1
+      && !fits_types_of_several_zones (api->dependencies.machines, spec))
+    return "a gang that is to be spread fits machine types of one zone only";
   return NULL;
 }
 
--- a/tests/test-job-admission.c
+++ b/tests/test-job-admission.c
@@ -117,6 +117,28 @@
   fixture_tear_down (&fixture);
 }
 
+/* Guards against a gang that is accepted and can never start: it is to be spread over zones, and the only types that
+ * hold a task are rented out in one zone. */
+static void
+test_gang_spread_over_one_zone (void)
+{
+  HzbJobSpec *gang = new_spec (HZB_JOB_GANG, 4, 10), *one_task = new_spec (HZB_JOB_GANG, 1, 12);
+  HzbJobSpec *array = new_spec (HZB_JOB_ARRAY, 4, 12), *smaller = new_spec (HZB_JOB_GANG, 4, 8);
+  HzbMachineType *huge = test_type ("huge", 16, 64);
+  AdmissionFixture fixture;
+  fixture_set_up (&fixture);
+  gang->spread = one_task->spread = array->spread = smaller->spread = TRUE;
+  g_strfreev (huge->zones);
+  huge->zones = g_strsplit ("za", ",", 0);
+  g_ptr_array_add (fixture.machines->types, huge);
+  assert_admission (&fixture, gang, HZB_ADMISSION_ERROR_UNSCHEDULABLE,
+                    "a gang that is to be spread fits machine types of one zone only");
+  assert_admission (&fixture, one_task, 0, NULL);
+  assert_admission (&fixture, array, 0, NULL);
+  assert_admission (&fixture, smaller, 0, NULL);
+  fixture_tear_down (&fixture);
+}
+
 static void
 test_unknown_types (void)
 {
@@ -139,6 +161,7 @@
   g_test_add_func ("/job-admission/limits", test_limits);
   g_test_add_func ("/job-admission/names", test_names);
   g_test_add_func ("/job-admission/contradictions", test_contradictions);
+  g_test_add_func ("/job-admission/gang-spread-over-one-zone", test_gang_spread_over_one_zone);
   g_test_add_func ("/job-admission/unknown-types", test_unknown_types);
   return g_test_run ();
 }
