--- a/tests/test-shard-leases.c
+++ b/tests/test-shard-leases.c
@@ -253,6 +253,34 @@
     }
 }
 
+/* Guards against a gang that waits for leased machines: the leader does not know which tasks run there, and these tasks
+ * do not end before the gang has waited for longer than any job may (90 s). The gang is to be spread over both zones. */
+static void
+test_gang_beside_leased_machines (void)
+{
+  for (guint32 seed = 60; seed < 64; seed++)
+    {
+      SimConfig config = sim_config_small;
+      Sim *sim;
+      SimJob *long_job, *gang;
+      config.machines = 24;
+      sim = sim_new_with_config (seed, &config);
+      long_job = sim_add_job (sim, 1, "red", 6, 4, 600);
+      long_job->type = "small";
+      while (sim->now < 60 && (sim_leader (sim) < 0 || sim_count_running_tasks (sim, long_job, NULL) < 6))
+        sim_run (sim, sim->now + 0.5);
+      g_assert_nonnull (find_leased_machine_with_tasks (sim, sim->nodes[sim_leader (sim)].controller));
+      gang = sim_add_job (sim, sim->now + 1, "blue", 4, 3, 10);
+      gang->gang = gang->spread = TRUE;
+      sim_run (sim, sim->now + 91);
+      if (!gang->first_start_at)
+        g_test_message ("seed %u: the gang has not started", seed);
+      g_assert_cmpfloat (gang->first_start_at, >, 0);
+      g_assert_cmpuint (sim->violations->len, ==, 0);
+      sim_free (sim);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -265,5 +293,6 @@
   g_test_add_func ("/shard-leases/no-lease-for-leader-only-work", test_no_lease_for_leader_only_work);
   g_test_add_func ("/shard-leases/random-failures", test_random_failures);
   g_test_add_func ("/shard-leases/late-renewal-after-release", test_late_renewal_after_release);
+  g_test_add_func ("/shard-leases/gang-beside-leased-machines", test_gang_beside_leased_machines);
   return g_test_run ();
 }
