Check of placements: arrays that have waited for long are tried apart from younger ones of their shape

An array for which only room that is free now counts was not tried, if a younger array of its shape, for which room that is free soon counts, came first. Found by reading.

--- a/src/scheduling/placement-check.c
+++ b/src/scheduling/placement-check.c
@@ -17,7 +17,8 @@
   guint n_teams = autoscaler->settings->teams->len;
 
   *check = (HzbPlacementCheck){ .autoscaler = autoscaler, .now = now, .kinds = kinds, .requests = requests };
-  check->arrays_tried = g_ptr_array_new ();
+  for (guint view = 0; view < HZB_N_ROOM_VIEWS; view++)
+    check->arrays_tried[view] = g_ptr_array_new ();
   check->cpus = g_new0 (double, n_teams);
   check->gpus = g_new0 (double, n_teams);
   for (guint i = 0; i < machines->len; i++)
@@ -28,7 +29,8 @@
 hzb_placement_check_clear (HzbPlacementCheck *check)
 {
   g_clear_pointer (&check->rooms, hzb_rooms_free);
-  g_clear_pointer (&check->arrays_tried, g_ptr_array_unref);
+  for (guint view = 0; view < HZB_N_ROOM_VIEWS; view++)
+    g_clear_pointer (&check->arrays_tried[view], g_ptr_array_unref);
   g_clear_pointer (&check->cpus, g_free);
   g_clear_pointer (&check->gpus, g_free);
 }
@@ -90,20 +92,6 @@
                                   : a->types == b->types);
 }
 
-/* Whether an array of the same shape was tried in this run. If not, the spec is noted as tried. */
-static gboolean
-was_tried (HzbPlacementCheck *check, const HzbJobSpec *spec)
-{
-  if (spec->kind != HZB_JOB_ARRAY || spec->same_zone || spec->spread)
-    return FALSE;
-  for (guint i = 0; i < check->arrays_tried->len; i++)
-    if (same_shape (check->arrays_tried->pdata[i], spec))
-      return TRUE;
-  if (check->arrays_tried->len < MAX_SHAPES)
-    g_ptr_array_add (check->arrays_tried, (gpointer) spec);
-  return FALSE;
-}
-
 /* Returns: whether the job has waited for so long that only room that is free now counts */
 static gboolean
 is_overdue (const HzbPlacementCheck *check, const HzbJob *job)
@@ -114,6 +102,30 @@
   return waited >= MAX (start_within, HZB_ROOM_SOON_S);
 }
 
+static HzbRoomView
+view_for (const HzbPlacementCheck *check, const HzbJob *job)
+{
+  if (is_overdue (check, job))
+    return HZB_ROOM_NOW;
+  return job->spec->kind == HZB_JOB_SERVICE ? HZB_ROOM_FOR_REPLICAS : HZB_ROOM_SOON;
+}
+
+/* Whether an array of the same shape was tried in this view. If not, the spec is noted as tried. */
+static gboolean
+was_tried (HzbPlacementCheck *check, const HzbJobSpec *spec, HzbRoomView view)
+{
+  GPtrArray *tried = check->arrays_tried[view];
+
+  if (spec->kind != HZB_JOB_ARRAY || spec->same_zone || spec->spread)
+    return FALSE;
+  for (guint i = 0; i < tried->len; i++)
+    if (same_shape (tried->pdata[i], spec))
+      return TRUE;
+  if (tried->len < MAX_SHAPES)
+    g_ptr_array_add (tried, (gpointer) spec);
+  return FALSE;
+}
+
 /* ---- the run ---- */
 
 /* Returns: FALSE if the run may make no more requests */
@@ -139,17 +151,16 @@
 }
 
 static void
-try_job (HzbPlacementCheck *check, HzbJob *job, guint wanted, guint required)
+try_job (HzbPlacementCheck *check, HzbJob *job, HzbRoomView view, guint required)
 {
   guint n_zones = check->rooms->zones->len;
   g_autofree guint *allowed = g_new0 (guint, n_zones + 1), *found = g_new0 (guint, n_zones + 1);
-  HzbPlacementTrial trial = { check, job, HZB_ROOM_SOON, wanted, required, allowed, found };
+  HzbPlacementTrial trial = { check, job, view, required, required, allowed, found };
   g_autoptr (GArray) requests = NULL;
 
-  if (is_overdue (check, job))
-    trial.view = HZB_ROOM_NOW;
-  else if (job->spec->kind == HZB_JOB_SERVICE)
-    trial.view = HZB_ROOM_FOR_REPLICAS;
+  /* The zone of an array with `samePlace` is chosen for all of its tasks. */
+  if (job->spec->same_zone)
+    trial.wanted = MAX (required, job->pending + job->queued);
   hzb_placement_trial_begin (&trial);
   requests = hzb_placement_trial_plan_requests (&trial);
   if (requests && append_requests (&trial, requests))
@@ -160,15 +171,14 @@
 static void
 examine_job (HzbPlacementCheck *check, HzbJob *job)
 {
-  const HzbJobSpec *spec = job->spec;
+  HzbRoomView view = view_for (check, job);
   guint required = may_start_tasks (job, check->now) ? count_required (check, job) : 0;
 
-  if (!required || was_tried (check, spec))
+  if (!required || was_tried (check, job->spec, view))
     return;
-  /* The zone of an array with `samePlace` is chosen for all of its tasks. */
-  try_job (check, job, spec->same_zone ? MAX (required, job->pending + job->queued) : required, required);
-  check->cpus[job->team] += required * spec->cpus;
-  check->gpus[job->team] += required * spec->gpus;
+  try_job (check, job, view, required);
+  check->cpus[job->team] += required * job->spec->cpus;
+  check->gpus[job->team] += required * job->spec->gpus;
 }
 
 /* Lists the rooms when the first job needs them, and adds the machines that were requested since. */
--- a/src/scheduling/placement-check.h
+++ b/src/scheduling/placement-check.h
@@ -48,11 +48,11 @@
                        run; not owned. */
   guint requests_counted;    /**< Number of requests that are in `rooms`. */
   HzbRooms *rooms;           /**< (nullable) Owned; NULL: no job had to be tried yet. */
-  GPtrArray *arrays_tried;   /**< (element-type HzbJobSpec) One spec of each shape
-                              of arrays; specs not owned. */
-  double *cpus;              /**< By team: CPUs that the jobs tried so far will use; owned. */
-  double *gpus;              /**< By team: GPUs of the same jobs; owned. */
-  guint rooms_left;          /**< How many more rooms the current pass may examine. */
+  GPtrArray *arrays_tried
+      [HZB_N_ROOM_VIEWS]; /**< (element-type HzbJobSpec) By view: one spec of each shape of arrays that was tried. Owned, the specs are not. */
+  double *cpus;     /**< By team: CPUs that the jobs tried so far will use; owned. */
+  double *gpus;     /**< By team: GPUs of the same jobs; owned. */
+  guint rooms_left; /**< How many more rooms the current pass may examine. */
 } HzbPlacementCheck;
 
 /**
