Check of placements: arrays hold no machines, and room that is free soon is free within a minute

A gang that met tasks of a minute rented machines of its own at once.

Now only gangs and services hold machines; an array gets a candidate here only if the cloud refuses all else (the demands weigh prices); tasks that are expected to end within 60 s leave room, and leased machines count for the first 30 s of waiting.

--- a/src/scheduling/placement-check.c
+++ b/src/scheduling/placement-check.c
@@ -6,6 +6,10 @@
 /* Rooms that one pass examines at most, so that the cost of a run does not grow with machines times jobs. */
 #define MAX_ROOMS_PER_PASS 20000u
 
+/* Leased machines are recalled for a gang, and get tasks of a waiting array. Those without room are not told apart, so they
+ * count only while the job has waited for less than this many seconds. */
+#define LEASED_COUNT_FOR_S 30.0
+
 /* Shapes of arrays that one run tells apart at most; arrays of further shapes are tried one by one. */
 #define MAX_SHAPES 64u
 
@@ -92,22 +96,19 @@
                                   : a->types == b->types);
 }
 
-/* Returns: whether the job has waited for so long that only room that is free now counts */
-static gboolean
-is_overdue (const HzbPlacementCheck *check, const HzbJob *job)
+/* Returns: the view of the room that counts for the job: the longer it has waited, the less it relies on tasks that are
+ * expected to end, or on machines whose tasks are not known. */
+static HzbRoomView
+view_for (const HzbPlacementCheck *check, const HzbJob *job)
 {
   double waited = hzb_time_is_set (job->starved_since) ? hzb_time_between (job->starved_since, check->now) : 0;
   double start_within = hzb_demand_start_within_s (check->autoscaler, job, check->now);
 
-  return waited >= MAX (start_within, HZB_ROOM_SOON_S);
-}
-
-static HzbRoomView
-view_for (const HzbPlacementCheck *check, const HzbJob *job)
-{
-  if (is_overdue (check, job))
+  if (waited >= MAX (start_within, HZB_ROOM_SOON_S))
     return HZB_ROOM_NOW;
-  return job->spec->kind == HZB_JOB_SERVICE ? HZB_ROOM_FOR_REPLICAS : HZB_ROOM_SOON;
+  if (job->spec->kind == HZB_JOB_SERVICE)
+    return HZB_ROOM_FOR_REPLICAS;
+  return waited < LEASED_COUNT_FOR_S ? HZB_ROOM_SOON_LEASED : HZB_ROOM_SOON;
 }
 
 /* Whether an array of the same shape was tried in this view. If not, the spec is noted as tried. */
@@ -150,12 +151,13 @@
   return TRUE;
 }
 
-static void
-try_job (HzbPlacementCheck *check, HzbJob *job, HzbRoomView view, guint required)
+/* Returns: FALSE if the machines cannot hold the job, and nothing that could be requested would hold it */
+static gboolean
+try_with (HzbPlacementCheck *check, HzbJob *job, HzbRoomView view, guint required, gboolean uses_candidates)
 {
   guint n_zones = check->rooms->zones->len;
   g_autofree guint *allowed = g_new0 (guint, n_zones + 1), *found = g_new0 (guint, n_zones + 1);
-  HzbPlacementTrial trial = { check, job, view, required, required, allowed, found };
+  HzbPlacementTrial trial = { check, job, view, uses_candidates, required, required, allowed, found };
   g_autoptr (GArray) requests = NULL;
 
   /* The zone of an array with `samePlace` is chosen for all of its tasks. */
@@ -165,6 +167,18 @@
   requests = hzb_placement_trial_plan_requests (&trial);
   if (requests && append_requests (&trial, requests))
     hzb_placement_trial_take_room (&trial);
+  return requests != NULL;
+}
+
+/* A gang or a service gets scale-in candidates before machines are rented. For an array this depends on prices, by which
+ * the demands are met (demand.h), so an array gets them here only if the cloud refuses whatever would hold it. */
+static void
+try_job (HzbPlacementCheck *check, HzbJob *job, HzbRoomView view, guint required)
+{
+  gboolean is_array = job->spec->kind == HZB_JOB_ARRAY;
+
+  if (!try_with (check, job, view, required, !is_array) && is_array)
+    try_with (check, job, view, required, TRUE);
 }
 
 /* Tries the job, if a task of it may start now within its team's limit. */
--- a/src/scheduling/placement-trial.c
+++ b/src/scheduling/placement-trial.c
@@ -66,6 +66,16 @@
   check->rooms_left -= MIN (check->rooms_left, 1);
 }
 
+/* Returns: how many tasks of the job the machine has room for, at most @max_tasks */
+static guint
+count_in_room (const HzbPlacementTrial *trial, const HzbMachineRoom *room, guint max_tasks)
+{
+  count_examined (trial->check);
+  if (room->machine && room->machine->scale_in_candidate && !trial->uses_candidates)
+    return 0;
+  return hzb_machine_room_count (room, trial->job->spec, trial->view, max_tasks);
+}
+
 static void
 count_found (HzbPlacementTrial *trial)
 {
@@ -76,8 +86,7 @@
     {
       const HzbMachineRoom *room = &g_array_index (all, HzbMachineRoom, i);
       guint zone = room->zone_index, limit = MIN (trial->allowed[zone], trial->wanted);
-      count_examined (check);
-      trial->found[zone] += hzb_machine_room_count (room, trial->job->spec, trial->view, limit - trial->found[zone]);
+      trial->found[zone] += count_in_room (trial, room, limit - trial->found[zone]);
     }
 }
 
@@ -87,11 +96,12 @@
   return trial->required - MIN (trial->required, total_found (trial));
 }
 
-/* Keeps a scale-in candidate, and holds the machine until the job is placed. */
+/* Keeps a scale-in candidate. A machine that will run a gang or a service is held, since all of their machines are needed
+ * at the same time; an array starts as soon as there is room for one task. */
 static void
 hold_machine (const HzbPlacementTrial *trial, HzbMachine *machine)
 {
-  machine->held_for_waiting_job = TRUE;
+  machine->held_for_waiting_job = machine->held_for_waiting_job || trial->job->spec->kind != HZB_JOB_ARRAY;
   if (!machine->scale_in_candidate)
     return;
   machine->scale_in_candidate = FALSE;
@@ -107,9 +117,7 @@
   for (guint i = 0; i < all->len && left; i++)
     {
       HzbMachineRoom *room = &g_array_index (all, HzbMachineRoom, i);
-      guint n_tasks =
-          hzb_machine_room_count (room, trial->job->spec, trial->view, MIN (left, trial->allowed[room->zone_index]));
-      count_examined (trial->check);
+      guint n_tasks = count_in_room (trial, room, MIN (left, trial->allowed[room->zone_index]));
       if (!n_tasks)
         continue;
       hzb_machine_room_take (room, trial->job->spec, n_tasks);
--- a/src/scheduling/placement-trial.h
+++ b/src/scheduling/placement-trial.h
@@ -15,6 +15,7 @@
   HzbPlacementCheck *check; /**< Not owned. */
   HzbJob *job;              /**< Not owned. */
   HzbRoomView view;         /**< Which room counts. */
+  gboolean uses_candidates; /**< Whether scale-in candidates count, which are then kept. */
   guint wanted;             /**< Tasks for which room is counted. */
   guint required;           /**< Of these, the tasks that need room now; machines are requested for them. */
   guint *allowed; /**< By zone: how many tasks the zone may take. An array for all zones, all 0 at first; not owned. */
--- a/src/scheduling/room.c
+++ b/src/scheduling/room.c
@@ -96,7 +96,9 @@
   add_zone (rooms, machine->zone);
   room.zone_index = hzb_rooms_zone_index (rooms, machine->zone);
   room.free[HZB_ROOM_NOW] = free_now (machine);
-  room.free[HZB_ROOM_SOON] = free_soon (machine, now);
+  room.free[HZB_ROOM_SOON_LEASED] = free_soon (machine, now);
+  if (machine->state != HZB_MACHINE_LEASED)
+    room.free[HZB_ROOM_SOON] = room.free[HZB_ROOM_SOON_LEASED];
   room.free[HZB_ROOM_FOR_REPLICAS] = free_for_replicas (machine);
   g_array_append_val (rooms->all, room);
 }
--- a/src/scheduling/room.h
+++ b/src/scheduling/room.h
@@ -10,14 +10,15 @@
 #pragma once
 #include "machines.h"
 
-/** HZB_ROOM_SOON_S: tasks that are expected to end within this many seconds leave room in the view HZB_ROOM_SOON. */
-#define HZB_ROOM_SOON_S 30.0
+/** HZB_ROOM_SOON_S: tasks that are expected to end within this many seconds leave room in the views HZB_ROOM_SOON. */
+#define HZB_ROOM_SOON_S 60.0
 
 /** HzbRoomView: which tasks on a machine leave no room for others. */
 typedef enum
 {
   HZB_ROOM_NOW,          /**< All tasks. A leased machine has no room, since its leaseholder alone knows its tasks. */
-  HZB_ROOM_SOON,         /**< Tasks that are not expected to end soon. A leased machine counts as empty. */
+  HZB_ROOM_SOON,         /**< Tasks that are not expected to end soon. A leased machine has no room. */
+  HZB_ROOM_SOON_LEASED,  /**< As HZB_ROOM_SOON, but a leased machine counts as empty. */
   HZB_ROOM_FOR_REPLICAS, /**< Replicas of services, since a replica may be able to preempt other tasks. */
   HZB_N_ROOM_VIEWS       /**< Number of views. */
 } HzbRoomView;
