A job whose tasks leaseholders return unstarted stays with the leader for a while

What callers would have seen: an accepted task did not start, and no machine was rented, while machines are leased and their free CPUs add up to those of the task, but no machine has as many.

Cause: tasks are delegated by the sum of free CPUs of a shard. The task came back unstarted after 6 s and was delegated again; in between the leader counted it as placed, so for the leader the job hardly waited.

Change: waiting is counted by tasks that have begun to run; a job whose tasks come back for 5 s or more while none begins is not delegated for a minute or until one begins, and leased machines are no room for it. Nothing on the wire changed.

--- a/src/scheduling/headroom.c
+++ b/src/scheduling/headroom.c
@@ -184,9 +184,9 @@
   for (guint i = 0; i < jobs->active->len; i++)
     {
       HzbJob *job = jobs->active->pdata[i];
-      if (!job->spec || job->state != HZB_JOB_ACCEPTED)
+      if (!job->spec || job->spec->kind == HZB_JOB_SERVICE || job->state != HZB_JOB_ACCEPTED)
         continue;
-      any_starved = (update_starvation (jobs, job, now) && job->spec->kind != HZB_JOB_SERVICE) || any_starved;
+      any_starved = update_starvation (jobs, job, now) || any_starved;
     }
   return any_starved;
 }
@@ -297,7 +297,7 @@
 void
 hzb_headroom_reserve (const HzbHeadroom *headroom, HzbJobs *jobs, HzbMachines *machines)
 {
-  gboolean release_all = any_other_job_starved (jobs) && headroom->spec;
+  gboolean release_all = headroom->spec && any_other_job_starved (jobs);
 
   release_unsuitable (headroom, machines, release_all);
   for (guint z = 0; z < headroom->n_zones && !release_all; z++)
--- a/src/scheduling/job.h
+++ b/src/scheduling/job.h
@@ -142,6 +142,16 @@
   struct timespec not_before;          /**< Back-off after failures: no task of the job starts before this time. */
   /** @} */
 
+  /** `name` Waiting, on the leader only; maintained by job-waiting.c
+   * @{ */
+  guint begun_tasks;             /**< Tasks that ran, or had run, when the job was last examined. */
+  struct timespec waiting_since; /**< No more tasks have begun since then; unset: not examined. */
+  struct timespec
+      first_returned;         /**< When a leaseholder first returned a task unstarted since a task last began; unset:
+                                     none was returned. */
+  struct timespec kept_since; /**< Since when the job is not delegated for that reason; unset: it may be. */
+  /** @} */
+
   /** `name` Scale-out, on the leader only
    * @{ */
   const char
--- a/src/scheduling/placement-check.c
+++ b/src/scheduling/placement-check.c
@@ -1,6 +1,7 @@
 #include "placement-check.h"
 
 #include "demand.h"
+#include "job-waiting.h"
 #include "placement-trial.h"
 
 /* Rooms that one pass examines at most, so that the cost of a run does not grow with machines times jobs. */
@@ -18,6 +19,7 @@
                           struct timespec now)
 {
   const GPtrArray *machines = autoscaler->machines->all;
+  const HzbJobs *jobs = autoscaler->jobs;
   guint n_teams = autoscaler->settings->teams->len;
 
   *check = (HzbPlacementCheck){ .autoscaler = autoscaler, .now = now, .kinds = kinds, .requests = requests };
@@ -27,6 +29,12 @@
   check->gpus = g_new0 (double, n_teams);
   for (guint i = 0; i < machines->len; i++)
     ((HzbMachine *) machines->pdata[i])->held_for_waiting_job = FALSE;
+  for (guint i = 0; i < jobs->active->len; i++)
+    {
+      HzbJob *job = jobs->active->pdata[i];
+      if (job->state == HZB_JOB_ACCEPTED && job->spec)
+        hzb_job_update_waiting (job, jobs->shard, now);
+    }
 }
 
 void
@@ -101,14 +109,14 @@
 static HzbRoomView
 view_for (const HzbPlacementCheck *check, const HzbJob *job)
 {
-  double waited = hzb_time_is_set (job->starved_since) ? hzb_time_between (job->starved_since, check->now) : 0;
+  double waited = hzb_job_waiting_s (job, check->now);
   double start_within = hzb_demand_start_within_s (check->autoscaler, job, check->now);
 
   if (waited >= MAX (start_within, HZB_ROOM_SOON_S))
     return HZB_ROOM_NOW;
   if (job->spec->kind == HZB_JOB_SERVICE)
     return HZB_ROOM_FOR_REPLICAS;
-  return waited < LEASED_COUNT_FOR_S ? HZB_ROOM_SOON_LEASED : HZB_ROOM_SOON;
+  return waited < LEASED_COUNT_FOR_S && !hzb_job_is_kept_by_leader (job) ? HZB_ROOM_SOON_LEASED : HZB_ROOM_SOON;
 }
 
 /* Whether an array of the same shape was tried in this view. If not, the spec is noted as tried. */
--- a/src/shards/shard-delegation.c
+++ b/src/shards/shard-delegation.c
@@ -1,4 +1,5 @@
 /* Delegates unstarted tasks to leaseholders with free CPUs, and selects machines to recall for a service. */
+#include "job-waiting.h"
 #include "scheduling-class.h"
 #include "shard-leases-private.h"
 
@@ -12,7 +13,7 @@
 {
   const HzbJobSpec *spec = job->spec;
   return job->state == HZB_JOB_ACCEPTED && spec->kind != HZB_JOB_GANG && spec->kind != HZB_JOB_SERVICE
-         && !spec->same_zone && !spec->spread;
+         && !spec->same_zone && !spec->spread && !hzb_job_is_kept_by_leader (job);
 }
 
 /* ---- delegating tasks ---- */
--- a/src/shards/shard-events.c
+++ b/src/shards/shard-events.c
@@ -1,4 +1,5 @@
 /* The leader applies a leaseholder's events and task counts. */
+#include "job-waiting.h"
 #include "shard-leases-private.h"
 
 /* ---- finished tasks, and tasks that are returned unstarted ---- */
@@ -50,10 +51,13 @@
 apply_returned_task (HzbTask *task, gpointer user)
 {
   const EventContext *context = user;
+  const HzbShardLeasesDependencies *dependencies = &context->leaseholder->shard_leases->dependencies;
+
   if (!hzb_shards_is_delegated_to (task, context->leaseholder))
     return;
-  hzb_task_set_state (context->leaseholder->shard_leases->dependencies.jobs, task, HZB_TASK_PENDING, NULL);
+  hzb_task_set_state (dependencies->jobs, task, HZB_TASK_PENDING, NULL);
   task->leaseholder = 0;
+  hzb_job_note_returned (task->job, hzb_clock_now (dependencies->node->clock));
 }
 
 /* ---- returned machines ---- */
--- a/tests/test-shard-leases.c
+++ b/tests/test-shard-leases.c
@@ -281,6 +281,38 @@
     }
 }
 
+/* Guards against a task that is delegated again and again to a shard whose machines cannot hold it: their free CPUs add up
+ * to those of the task, but no machine has as many. */
+static void
+test_task_that_no_leased_machine_holds (void)
+{
+  for (guint32 seed = 70; seed < 74; seed++)
+    {
+      SimConfig config = sim_config_small;
+      Sim *sim;
+      SimJob *long_jobs[2], *job;
+      config.machines = 24;
+      sim = sim_new_with_config (seed, &config);
+      for (guint i = 0; i < 2; i++)
+        {
+          long_jobs[i] = sim_add_job (sim, 1 + i, i ? "red" : "blue", 4, 5, 600);
+          long_jobs[i]->type = "big"; /* leaves 3 CPUs of a machine */
+        }
+      while (sim->now < 60
+             && sim_count_running_tasks (sim, long_jobs[0], NULL) + sim_count_running_tasks (sim, long_jobs[1], NULL)
+                    < 8)
+        sim_run (sim, sim->now + 0.5);
+      g_assert_nonnull (find_leased_machine_with_tasks (sim, sim->nodes[sim_leader (sim)].controller));
+      job = sim_add_job (sim, sim->now + 1, "blue", 1, 4, 10);
+      job->type = "big";
+      sim_run (sim, sim->now + 91);
+      if (!job->first_start_at)
+        g_test_message ("seed %u: the job has not started", seed);
+      g_assert_cmpfloat (job->first_start_at, >, 0);
+      sim_free (sim);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -294,5 +326,6 @@
   g_test_add_func ("/shard-leases/random-failures", test_random_failures);
   g_test_add_func ("/shard-leases/late-renewal-after-release", test_late_renewal_after_release);
   g_test_add_func ("/shard-leases/gang-beside-leased-machines", test_gang_beside_leased_machines);
+  g_test_add_func ("/shard-leases/task-that-no-leased-machine-holds", test_task_that_no_leased_machine_holds);
   return g_test_run ();
 }
