Check of placements: an array relies on room that is free soon; leaseholders that returned a task are avoided for 20 s

Cause of the first, by a trace of the check: arrays that had waited for long counted only room that is free now. In a full fleet they wait by their place in the order of work, so a machine was rented again and again, up to the limit of the cloud, on demand when spot was refused; the demands took these machines for surplus, and they stood empty (4 CPUs each on two machines for 30 s) until returned. Now only gangs and services rely on room that is free now; a task that has overrun its estimate by a minute leaves no room.

Now only the leaseholder that returned a task of a job that has waited for 30 s is avoided.

--- a/src/scheduling/job-waiting.c
+++ b/src/scheduling/job-waiting.c
@@ -1,11 +1,13 @@
 #include "job-waiting.h"
 
-/* Tasks that are returned unstarted at least this many seconds after the first ones were delegated in vain. A shorter time
- * would not tell two attempts from the parts of one. */
-#define REPEATED_RETURN_S 5.0
+/* A leaseholder that returned a task may have room again after this many seconds. Short enough to try each leaseholder
+ * several times within the 90 seconds that a job may wait. */
+#define RETURNED_FOR_S 20.0
 
-/* The job is delegated again after this many seconds, as the leader may have no suitable machines either. */
-#define KEPT_BY_LEADER_S 60.0
+/* A job that has waited for less is delegated again at once: tasks are also returned since others went before them. */
+#define AVOID_AFTER_S 30.0
+
+#define MAX_LEASEHOLDERS 32u /* whose returns are told apart; those of others are not noted */
 
 static gboolean
 may_begin_more (const HzbJob *job, const HzbShard *shard, guint begun)
@@ -17,7 +19,7 @@
 static gboolean
 has_unstarted_delegated_task (const HzbJob *job)
 {
-  return hzb_time_is_set (job->first_returned) && job->placed > job->running + job->delegated_running;
+  return hzb_job_was_returned (job) && job->placed > job->running + job->delegated_running;
 }
 
 void
@@ -25,14 +27,12 @@
 {
   guint begun = job->running + job->delegated_running + job->finished + job->done;
 
-  if (begun > job->begun_tasks)
-    job->first_returned = job->kept_since = (struct timespec){ 0 };
+  if (begun > job->begun_tasks || hzb_time_between (job->returned_at, now) > RETURNED_FOR_S)
+    job->returned_by = 0;
   if (begun > job->begun_tasks || !hzb_time_is_set (job->waiting_since)
       || !(may_begin_more (job, shard, begun) || has_unstarted_delegated_task (job)))
     job->waiting_since = now;
   job->begun_tasks = begun;
-  if (hzb_time_is_set (job->kept_since) && hzb_time_between (job->kept_since, now) > KEPT_BY_LEADER_S)
-    job->first_returned = job->kept_since = (struct timespec){ 0 };
 }
 
 double
@@ -42,22 +42,23 @@
 }
 
 void
-hzb_job_note_returned (HzbJob *job, struct timespec now)
+hzb_job_note_returned (HzbJob *job, guint leaseholder, struct timespec now)
+{
+  if (leaseholder >= MAX_LEASEHOLDERS)
+    return;
+  job->returned_by |= 1u << leaseholder;
+  job->returned_at = now;
+}
+
+gboolean
+hzb_job_avoids_leaseholder (const HzbJob *job, guint leaseholder, struct timespec now)
 {
-  if (!hzb_time_is_set (job->first_returned))
-    job->first_returned = now;
-  else if (!hzb_time_is_set (job->kept_since) && hzb_time_between (job->first_returned, now) >= REPEATED_RETURN_S)
-    {
-      job->kept_since = now;
-      g_message (
-          "job %s: leaseholders return its tasks unstarted, since no machine of theirs has room; its tasks start on "
-          "the leader's machines for a while",
-          job->uid);
-    }
+  return leaseholder < MAX_LEASEHOLDERS && (job->returned_by & 1u << leaseholder)
+         && hzb_job_waiting_s (job, now) >= AVOID_AFTER_S;
 }
 
 gboolean
-hzb_job_is_kept_by_leader (const HzbJob *job)
+hzb_job_was_returned (const HzbJob *job)
 {
-  return hzb_time_is_set (job->kept_since);
+  return job->returned_by != 0;
 }
--- a/src/scheduling/job.c
+++ b/src/scheduling/job.c
@@ -37,8 +37,8 @@
   g_clear_pointer (&job->first_failed_machine, g_free);
   job->starved_since = (struct timespec){ 0 };
   job->planned_zone = NULL;
-  job->begun_tasks = 0;
-  job->waiting_since = job->first_returned = job->kept_since = (struct timespec){ 0 };
+  job->begun_tasks = job->returned_by = 0;
+  job->waiting_since = job->returned_at = (struct timespec){ 0 };
 }
 
 const char *
--- a/src/scheduling/job.h
+++ b/src/scheduling/job.h
@@ -146,10 +146,8 @@
    * @{ */
   guint begun_tasks;             /**< Tasks that ran, or had run, when the job was last examined. */
   struct timespec waiting_since; /**< No more tasks have begun since then; unset: not examined. */
-  struct timespec
-      first_returned;         /**< When a leaseholder first returned a task unstarted since a task last began; unset:
-                                     none was returned. */
-  struct timespec kept_since; /**< Since when the job is not delegated for that reason; unset: it may be. */
+  guint32 returned_by;           /**< Bit for each leaseholder that has lately returned a task unstarted. */
+  struct timespec returned_at;   /**< When a leaseholder last did so. */
   /** @} */
 
   /** `name` Scale-out, on the leader only
--- a/src/scheduling/placement-check.c
+++ b/src/scheduling/placement-check.c
@@ -104,19 +104,19 @@
                                   : a->types == b->types);
 }
 
-/* Returns: the view of the room that counts for the job: the longer it has waited, the less it relies on tasks that are
- * expected to end, or on machines whose tasks are not known. */
+/* Returns: the view of the room that counts for the job: the longer it has waited, the less it relies on machines whose tasks
+ * are not known. A gang or a service that has waited for long relies on no tasks that are expected to end either, since
+ * it needs the room of all of them at the same time. */
 static HzbRoomView
 view_for (const HzbPlacementCheck *check, const HzbJob *job)
 {
   double waited = hzb_job_waiting_s (job, check->now);
-  double start_within = hzb_demand_start_within_s (check->autoscaler, job, check->now);
 
-  if (waited >= MAX (start_within, HZB_ROOM_SOON_S))
+  if (waited >= HZB_ROOM_SOON_S && job->spec->kind != HZB_JOB_ARRAY)
     return HZB_ROOM_NOW;
   if (job->spec->kind == HZB_JOB_SERVICE)
     return HZB_ROOM_FOR_REPLICAS;
-  return waited < LEASED_COUNT_FOR_S && !hzb_job_is_kept_by_leader (job) ? HZB_ROOM_SOON_LEASED : HZB_ROOM_SOON;
+  return waited < LEASED_COUNT_FOR_S && !hzb_job_was_returned (job) ? HZB_ROOM_SOON_LEASED : HZB_ROOM_SOON;
 }
 
 /* Whether an array of the same shape was tried in this view. If not, the spec is noted as tried. */
--- a/src/scheduling/placement-check.h
+++ b/src/scheduling/placement-check.h
@@ -14,8 +14,8 @@
  * - a gang needs room for all of its tasks at the same time, a service for all
  * waiting replicas, and an array for one task, since each task that ends leaves
  * its room to the next one;
- * - room that tasks leave soon counts until the job has waited for long, and then only room that is free now; leased
- *   machines count at first;
+ * - room that tasks leave soon counts; for a gang or a service that has waited for long, only room that is free now;
+ *   leased machines count at first;
  * - a zone limits how many tasks it takes, as `samePlace` and `spread` ask;
  * - what is missing is requested from the cheapest kinds that the cloud did not
  * refuse lately; for a gang, only if the cloud may grant all of it.
--- a/src/scheduling/room.c
+++ b/src/scheduling/room.c
@@ -28,12 +28,17 @@
   return (HzbResources){ type->cpus - machine->cpus, type->gpus - machine->gpus, type->memory_gb - machine->memory_gb };
 }
 
-/* Whether the task keeps its resources for longer than HZB_ROOM_SOON_S. */
+/* Whether the task keeps its resources for longer than HZB_ROOM_SOON_S, as far as is known. A task that has run for that
+ * much longer than expected may run on for any time. */
 static gboolean
 stays_on_machine (const HzbTask *task, struct timespec now)
 {
-  return !task->stopping
-         && (task->job->spec->kind == HZB_JOB_SERVICE || hzb_task_remaining_s (task, now) > HZB_ROOM_SOON_S);
+  double overrun_s = hzb_time_between (task->since, now) - hzb_job_mean_s (task->job);
+
+  if (task->stopping)
+    return FALSE;
+  return task->job->spec->kind == HZB_JOB_SERVICE || hzb_task_remaining_s (task, now) > HZB_ROOM_SOON_S
+         || (task->state == HZB_TASK_RUNNING && overrun_s > HZB_ROOM_SOON_S);
 }
 
 static HzbResources
--- a/src/shards/shard-delegation.c
+++ b/src/shards/shard-delegation.c
@@ -13,7 +13,7 @@
 {
   const HzbJobSpec *spec = job->spec;
   return job->state == HZB_JOB_ACCEPTED && spec->kind != HZB_JOB_GANG && spec->kind != HZB_JOB_SERVICE
-         && !spec->same_zone && !spec->spread && !hzb_job_is_kept_by_leader (job);
+         && !spec->same_zone && !spec->spread;
 }
 
 /* ---- delegating tasks ---- */
@@ -91,6 +91,7 @@
   guint next_index = 0;
 
   if (!shard_has_allowed_machine (delegation->leaseholder, job->spec)
+      || hzb_job_avoids_leaseholder (job, delegation->leaseholder->id, delegation->now)
       || (job->start_overdue && (job->queued || job->placed)))
     return;
   if (job->cursor >= job->released)
--- a/src/shards/shard-events.c
+++ b/src/shards/shard-events.c
@@ -57,7 +57,7 @@
     return;
   hzb_task_set_state (dependencies->jobs, task, HZB_TASK_PENDING, NULL);
   task->leaseholder = 0;
-  hzb_job_note_returned (task->job, hzb_clock_now (dependencies->node->clock));
+  hzb_job_note_returned (task->job, context->leaseholder->id, hzb_clock_now (dependencies->node->clock));
 }
 
 /* ---- returned machines ---- */
