One function takes the paths of requests apart, for every route

Cause: each handler took its path apart by itself; the drain computed a length from a prefix and a suffix that share a slash.

Change: hzb_path_parse() compares a path with the pattern of a route, segment by segment, and hands out the parameters; the routes of users and of reconciliation are tables. A path that is no route gets 404, also from other controllers.

--- a/src/api/admin.c
+++ b/src/api/admin.c
@@ -3,15 +3,15 @@
 #include "admin-private.h"
 
 #include "admin-codec.h"
+#include "path-pattern.h"
 #include "worker-protocol.h"
 
 #include <string.h>
 
 #define PREFIX "/admin/v1/"
 #define TENANT "tenants/main/"
-#define JOBS TENANT "jobs/"
-#define MACHINES "machines/"
-#define DRAIN "/drain"
+#define JOB TENANT "jobs/" HZB_PATH_PARAMETER
+#define MACHINE_DRAIN "machines/" HZB_PATH_PARAMETER "/drain"
 
 HzbAdmin *
 hzb_admin_new (const HzbAdminDependencies *dependencies, const HzbAdminCallbacks *callbacks, gpointer user)
@@ -236,25 +236,17 @@
     }
 }
 
-/* Returns: (transfer full) (nullable): the machine's name; NULL if the path is not that of a machine's drain */
-static char *
-parse_drain_path (const char *path)
-{
-  if (!g_str_has_prefix (path, MACHINES) || !g_str_has_suffix (path, DRAIN))
-    return NULL;
-  return g_strndup (path + strlen (MACHINES), strlen (path) - strlen (MACHINES DRAIN));
-}
-
 /* Handles a request whose path is neither that of a view nor about reconciliations. */
 static void
 handle_other_path (HzbAdmin *admin, HzbHttpRequest *http_request, const char *path)
 {
-  g_autofree char *machine = parse_drain_path (path);
+  g_auto (GStrv) job = hzb_path_parse (path, JOB);
+  g_auto (GStrv) drained = hzb_path_parse (path, MACHINE_DRAIN);
 
-  if (g_str_has_prefix (path, JOBS))
-    handle_job (admin, http_request, path + strlen (JOBS));
-  else if (machine)
-    handle_drain (admin, http_request, machine);
+  if (job)
+    handle_job (admin, http_request, job[0]);
+  else if (drained)
+    handle_drain (admin, http_request, drained[0]);
   else
     hzb_admin_refuse (
         http_request, 404,
--- a/src/api/user-api.c
+++ b/src/api/user-api.c
@@ -1,4 +1,5 @@
 /* The user API: its creation and destruction, and the routing of requests by path. */
+#include "path-pattern.h"
 #include "user-api-private.h"
 
 #include <string.h>
@@ -76,44 +77,51 @@
     hzb_pending_requests_add (api, http_request, uid, kind, NULL);
 }
 
+typedef struct
+{
+  const char *pattern;
+  const char *method;
+  const char *expected_method; /* text of the response to another method */
+  void (*handle) (HzbUserApi *api, HzbHttpRequest *http_request, char **parameters);
+} Route;
+
 static void
-handle_jobs (HzbUserApi *api, HzbHttpRequest *http_request)
+submit (HzbUserApi *api, HzbHttpRequest *http_request, char **parameters)
 {
-  if (g_str_equal (http_request->method, "POST"))
-    hzb_submissions_submit (api, http_request);
-  else
-    hzb_user_api_reply_error (http_request, 405, "POST a job here", 0);
+  hzb_submissions_submit (api, http_request);
 }
 
-/* @job_path: the part of the path after "/api/jobs/": the id of a job, which a slash and an action may follow */
 static void
-handle_job_path (HzbUserApi *api, HzbHttpRequest *http_request, const char *job_path)
+report_status (HzbUserApi *api, HzbHttpRequest *http_request, char **parameters)
 {
-  const char *action = strchr (job_path, '/');
-  g_autofree char *uid = action ? g_strndup (job_path, (gsize) (action - job_path)) : g_strdup (job_path);
-
-  if (!action && g_str_equal (http_request->method, "GET"))
-    handle_job (api, http_request, uid, HZB_PENDING_REQUEST_STATUS);
-  else if (!action)
-    hzb_user_api_reply_error (http_request, 405, "GET a job here", 0);
-  else if (!g_str_equal (action, hzb_path_cancel))
-    hzb_user_api_reply_error (http_request, 404, "no such path", 0);
-  else if (g_str_equal (http_request->method, "POST"))
-    handle_job (api, http_request, uid, HZB_PENDING_REQUEST_CANCELLATION);
-  else
-    hzb_user_api_reply_error (http_request, 405, "POST here", 0);
+  handle_job (api, http_request, parameters[0], HZB_PENDING_REQUEST_STATUS);
 }
 
+static void
+cancel (HzbUserApi *api, HzbHttpRequest *http_request, char **parameters)
+{
+  handle_job (api, http_request, parameters[0], HZB_PENDING_REQUEST_CANCELLATION);
+}
+
+static const Route routes[] = {
+  { hzb_path_jobs, "POST", "POST a job here", submit },
+  { hzb_path_job, "GET", "GET a job here", report_status },
+  { hzb_path_job_cancel, "POST", "POST here", cancel },
+};
+
 void
 hzb_user_api_request (HzbUserApi *api, HzbHttpRequest *http_request)
 {
-  const char *path = http_request->path;
-  gboolean is_job_path = g_str_has_prefix (path, hzb_path_jobs) && path[strlen (hzb_path_jobs)] == '/';
-
-  if (g_str_equal (path, hzb_path_jobs))
-    handle_jobs (api, http_request);
-  else if (is_job_path)
-    handle_job_path (api, http_request, path + strlen (hzb_path_jobs) + 1);
-  else
-    hzb_user_api_reply_error (http_request, 404, "no such path", 0);
+  for (guint i = 0; i < G_N_ELEMENTS (routes); i++)
+    {
+      g_auto (GStrv) parameters = hzb_path_parse (http_request->path, routes[i].pattern);
+      if (!parameters)
+        continue;
+      if (g_str_equal (http_request->method, routes[i].method))
+        routes[i].handle (api, http_request, parameters);
+      else
+        hzb_user_api_reply_error (http_request, 405, routes[i].expected_method, 0);
+      return;
+    }
+  hzb_user_api_reply_error (http_request, 404, "no such path", 0);
 }
--- a/src/cluster/peers.c
+++ b/src/cluster/peers.c
@@ -1,4 +1,5 @@
 /* Sends and receives the messages between controllers. */
+#include "path-pattern.h"
 #include "peers-private.h"
 #include "user-protocol.h"
 
@@ -215,14 +216,16 @@
 void
 hzb_peers_handle_request (HzbPeers *peers, HzbHttpRequest *http_request)
 {
-  HzbPeerMessageKind kind =
-      g_str_equal (http_request->path, SHARD_POLL_PATH) ? HZB_PEER_SHARD_POLL : HZB_PEER_HEARTBEAT;
+  gboolean is_shard_poll = hzb_path_matches (http_request->path, SHARD_POLL_PATH);
+  HzbPeerMessageKind kind = is_shard_poll ? HZB_PEER_SHARD_POLL : HZB_PEER_HEARTBEAT;
   cJSON *message = cJSON_ParseWithLength (http_request->body, http_request->length);
   HzbPeerEnvelope envelope = hzb_peer_envelope_decode (message);
   guint min_schema_version = MIN (hzb_election_schema_version (peers->dependencies.election), HZB_SCHEMA_VERSION_2);
   HzbPeerEntry *sender = hzb_peer_senders_admit (&peers->senders, &peers->table, &envelope, kind, min_schema_version);
 
-  if (!sender)
+  if (!is_shard_poll && !hzb_path_matches (http_request->path, HEARTBEAT_PATH))
+    hzb_http_request_respond (http_request, 404, hzb_error_response_encode ("no such path for controllers"), 0);
+  else if (!sender)
     hzb_http_request_respond (http_request, 400, hzb_error_response_encode ("not a message of a peer, or an old one"),
                               0);
   else if (kind == HZB_PEER_SHARD_POLL)
--- a/src/controller/request-routing.c
+++ b/src/controller/request-routing.c
@@ -1,5 +1,6 @@
 /* Passes each request of a user, a worker, an operator or another controller to the module that answers it. */
 #include "controller-private.h"
+#include "path-pattern.h"
 #include "user-protocol.h"
 #include "worker-protocol.h"
 
@@ -18,7 +19,7 @@
     return HZB_METRIC_HEARTBEAT;
   if (!g_str_has_prefix (http_request->path, hzb_path_jobs))
     return HZB_METRIC_OTHER;
-  if (g_str_has_suffix (http_request->path, hzb_path_cancel))
+  if (hzb_path_matches (http_request->path, hzb_path_job_cancel))
     return HZB_METRIC_CANCEL;
   return g_str_equal (http_request->method, "POST") ? HZB_METRIC_SUBMIT : HZB_METRIC_STATUS;
 }
--- a/src/protocol/user-protocol.c
+++ b/src/protocol/user-protocol.c
@@ -6,7 +6,8 @@
 #include <string.h>
 
 const char hzb_path_jobs[] = "/api/jobs";
-const char hzb_path_cancel[] = "/cancel";
+const char hzb_path_job[] = "/api/jobs/{}";
+const char hzb_path_job_cancel[] = "/api/jobs/{}/cancel";
 const char hzb_path_ready[] = "/ready";
 
 /* Names of the fields in users' messages. The wire format fixes the strings; the constants are named after the terms
--- a/src/protocol/user-protocol.h
+++ b/src/protocol/user-protocol.h
@@ -80,12 +80,14 @@
 void hzb_job_spec_free (HzbJobSpec *spec);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (HzbJobSpec, hzb_job_spec_free)
 
-/** Path of a submission (POST). Followed by "/" and a job's id, it is the path of the job (GET). */
+/** Path of a submission (POST). */
 extern const char hzb_path_jobs[];
+/** Pattern (path-pattern.h) of the path of a job, with its id as the parameter (GET). */
+extern const char hzb_path_job[];
+/** Pattern of the path of a request to cancel a job, with its id as the parameter (POST). */
+extern const char hzb_path_job_cancel[];
 /** Path of the load balancer's readiness check: whether the controller serves users (GET). */
 extern const char hzb_path_ready[];
-/** Suffix which, appended to the path of a job, gives the path of a request to cancel the job (POST). */
-extern const char hzb_path_cancel[];
 
 /**
  * Checks the form of a job's id, such as run-000412.
--- a/src/reconciliation/reconciliation-admin.c
+++ b/src/reconciliation/reconciliation-admin.c
@@ -1,14 +1,14 @@
 #include "reconciliation-admin.h"
 
+#include "path-pattern.h"
 #include "reconciliation-admin-codec.h"
 #include "reconciliation-private.h"
 #include "user-protocol.h"
 
-#include <string.h>
-
 #define PATH_STATE "reconciliation"
-#define PATH_QUARANTINE "reconciliation/quarantine/"
+#define PATH_QUARANTINE "reconciliation/quarantine/" HZB_PATH_PARAMETER "/" HZB_PATH_PARAMETER
 #define PATH_ARCHIVES "reconciliations"
+#define PATH_ARCHIVE PATH_ARCHIVES "/" HZB_PATH_PARAMETER
 
 #define RETRY_AFTER_S 1u /* sent with each response 503 */
 
@@ -59,19 +59,18 @@
 
 /* @name: "JOB/NUMBER", as in the path */
 static void
-apply_decision (HzbReconciliation *reconciliation, HzbHttpRequest *http_request, const char *name)
+apply_decision (HzbReconciliation *reconciliation, HzbHttpRequest *http_request, char **parameters)
 {
-  g_auto (GStrv) parts = g_strsplit (name, "/", 0);
   HzbOperatorDecision decision;
   guint64 task = 0;
 
-  if (g_strv_length (parts) != 2 || !hzb_job_uid_is_valid (parts[0])
-      || !g_ascii_string_to_unsigned (parts[1], 10, 0, HZB_MAX_TASKS, &task, NULL))
+  if (!hzb_job_uid_is_valid (parameters[0])
+      || !g_ascii_string_to_unsigned (parameters[1], 10, 0, HZB_MAX_TASKS, &task, NULL))
     respond_error (http_request, 400, "expected quarantine/JOB/NUMBER");
   else if (!hzb_reconciliation_decision_decode (http_request->body, http_request->length, &decision))
     respond_error (http_request, 400, "expected {\"decision\": \"keep\"} or \"stop\"");
   else
-    hzb_quarantine_apply_decision (reconciliation->quarantine, parts[0], (guint) task, decision, on_decided,
+    hzb_quarantine_apply_decision (reconciliation->quarantine, parameters[0], (guint) task, decision, on_decided,
                                    http_request);
 }
 
@@ -84,11 +83,11 @@
 }
 
 static void
-read_archive (HzbReconciliation *reconciliation, HzbHttpRequest *http_request, const char *id_text)
+read_archive (HzbReconciliation *reconciliation, HzbHttpRequest *http_request, char **parameters)
 {
   guint64 id = 0;
 
-  if (!g_ascii_string_to_unsigned (id_text, 10, 1, G_MAXUINT64, &id, NULL))
+  if (!g_ascii_string_to_unsigned (parameters[0], 10, 1, G_MAXUINT64, &id, NULL))
     respond_error (http_request, 400, "expected the id of an archive");
   else
     hzb_archive_store_read (reconciliation->archive_store, id, on_archive_read, http_request);
@@ -103,47 +102,56 @@
          && hzb_election_is_leader (reconciliation->dependencies.election);
 }
 
-/* Returns: FALSE, without a response, if no resource has this path */
-static gboolean
-handle_get (HzbReconciliation *reconciliation, HzbHttpRequest *http_request, const char *path)
+static void
+respond_state (HzbReconciliation *reconciliation, HzbHttpRequest *http_request, char **parameters)
 {
-  if (g_str_equal (path, PATH_STATE))
-    {
-      if (is_leader (reconciliation))
-        hzb_http_request_respond (http_request, 200, hzb_reconciliation_state_encode (reconciliation), 0);
-      else
-        redirect_to_leader (reconciliation, http_request);
-    }
-  else if (g_str_equal (path, PATH_ARCHIVES))
-    hzb_archive_store_list (reconciliation->archive_store, on_archive_read, http_request);
-  else if (g_str_has_prefix (path, PATH_ARCHIVES "/"))
-    read_archive (reconciliation, http_request, path + strlen (PATH_ARCHIVES "/"));
+  if (is_leader (reconciliation))
+    hzb_http_request_respond (http_request, 200, hzb_reconciliation_state_encode (reconciliation), 0);
   else
-    return FALSE;
-  return TRUE;
+    redirect_to_leader (reconciliation, http_request);
+}
+
+static void
+list_archives (HzbReconciliation *reconciliation, HzbHttpRequest *http_request, char **parameters)
+{
+  hzb_archive_store_list (reconciliation->archive_store, on_archive_read, http_request);
 }
 
 static void
-handle_post_decision (HzbReconciliation *reconciliation, HzbHttpRequest *http_request, const char *name)
+handle_post_decision (HzbReconciliation *reconciliation, HzbHttpRequest *http_request, char **parameters)
 {
   if (is_leader (reconciliation))
-    apply_decision (reconciliation, http_request, name);
+    apply_decision (reconciliation, http_request, parameters);
   else
     redirect_to_leader (reconciliation, http_request);
 }
 
+static const struct
+{
+  const char *pattern;
+  const char *method;
+  const char *expected_method; /* text of the response to another method */
+  void (*handle) (HzbReconciliation *reconciliation, HzbHttpRequest *http_request, char **parameters);
+} routes[] = {
+  { PATH_STATE, "GET", "GET here", respond_state },
+  { PATH_ARCHIVES, "GET", "GET here", list_archives },
+  { PATH_ARCHIVE, "GET", "GET here", read_archive },
+  { PATH_QUARANTINE, "POST", "POST here", handle_post_decision },
+};
+
 gboolean
 hzb_reconciliation_admin_request (HzbReconciliation *reconciliation, HzbHttpRequest *http_request, const char *path)
 {
-  gboolean is_decision = g_str_has_prefix (path, PATH_QUARANTINE);
-
-  if (!is_decision && !g_str_equal (path, PATH_STATE) && !g_str_has_prefix (path, PATH_ARCHIVES))
-    return FALSE;
-  if (!g_str_equal (http_request->method, is_decision ? "POST" : "GET"))
-    respond_error (http_request, 405, is_decision ? "POST here" : "GET here");
-  else if (is_decision)
-    handle_post_decision (reconciliation, http_request, path + strlen (PATH_QUARANTINE));
-  else
-    return handle_get (reconciliation, http_request, path);
-  return TRUE;
+  for (guint i = 0; i < G_N_ELEMENTS (routes); i++)
+    {
+      g_auto (GStrv) parameters = hzb_path_parse (path, routes[i].pattern);
+      if (!parameters)
+        continue;
+      if (g_str_equal (http_request->method, routes[i].method))
+        routes[i].handle (reconciliation, http_request, parameters);
+      else
+        respond_error (http_request, 405, routes[i].expected_method);
+      return TRUE;
+    }
+  return FALSE;
 }
--- a/tests/test-cluster.c
+++ b/tests/test-cluster.c
@@ -1,5 +1,6 @@
 /* Tests of whole controllers on the simulated cluster: seeded schedules of faults around three real controllers. The
  * simulator checks the rules of the protocol after every event (sim-rules.c). */
+#include "path-pattern.h"
 #include "sim-faults.h"
 
 #include <string.h>
@@ -544,6 +545,106 @@
   sim_free (sim);
 }
 
+/* Sends a request with an empty body to a controller. Returns: the status of the response; 0: none */
+static guint
+send_to_path (Sim *sim, void (*handle) (HzbHttpRequest *http_request, gpointer controller), const char *method,
+              const char *path)
+{
+  HzbHttpRequest *http_request = g_new0 (HzbHttpRequest, 1);
+  static guint status;
+  status = 0;
+  http_request->method = g_strdup (method);
+  http_request->path = g_strdup (path);
+  http_request->body = g_strdup ("");
+  http_request->reply = capture_status;
+  http_request->impl = &status;
+  handle (http_request, sim->nodes[0].controller);
+  sim_run (sim, sim->now + 0.1);
+  return status;
+}
+
+/* Sends the path with one segment replaced by @segment, or without that segment if @segment is NULL, by each method.
+ * Unless another route has this path, it has to be refused. */
+static void
+expect_refused (Sim *sim, const char *path, guint index, const char *segment, const GPtrArray *patterns)
+{
+  g_auto (GStrv) segments = g_strsplit (path, "/", -1);
+  g_autoptr (GStrvBuilder) builder = g_strv_builder_new ();
+  g_auto (GStrv) changed_segments = NULL;
+  g_autofree char *changed = NULL;
+  gboolean is_route = FALSE;
+
+  for (guint i = 0; segments[i]; i++)
+    if (i != index || segment)
+      g_strv_builder_add (builder, i == index ? segment : segments[i]);
+  changed_segments = g_strv_builder_end (builder);
+  changed = g_strjoinv ("/", changed_segments);
+  for (guint i = 0; i < patterns->len; i++)
+    is_route = is_route || hzb_path_matches (changed, patterns->pdata[i]);
+  for (guint m = 0; m < 3; m++)
+    {
+      static const char *const methods[] = { "GET", "POST", "PUT" };
+      gboolean to_peer = g_str_has_prefix (path, "/peer");
+      guint status = send_to_path (sim, to_peer ? hzb_controller_handle_peer_request : hzb_controller_handle_request,
+                                   methods[m], changed);
+      g_assert_cmpuint (status, !=, 0);
+      if (!is_route)
+        g_assert_true (status == 404 || status == 400);
+    }
+}
+
+/* Guards against a request that ends a controller since a part of its path is missing: a drain without a machine's name
+ * had a length below 0. Each route gets its path with each part left out, doubled, empty, encoded, very long, and with a
+ * slash more. */
+static void
+test_malformed_paths (void)
+{
+  static const char *const routes[] = { "/api/jobs",
+                                        "/api/jobs/{}",
+                                        "/api/jobs/{}/cancel",
+                                        "/ready",
+                                        "/hello",
+                                        "/peer/v1/word",
+                                        "/peer/v1/block",
+                                        "/admin/v1/leadership",
+                                        "/admin/v1/metrics",
+                                        "/admin/v1/settings",
+                                        "/admin/v1/machines",
+                                        "/admin/v1/blocks",
+                                        "/admin/v1/machines/{}/drain",
+                                        "/admin/v1/tenants/main/teams",
+                                        "/admin/v1/tenants/main/jobs",
+                                        "/admin/v1/tenants/main/jobs/{}",
+                                        "/admin/v1/reconciliation",
+                                        "/admin/v1/reconciliations",
+                                        "/admin/v1/reconciliations/{}",
+                                        "/admin/v1/reconciliation/quarantine/{}/{}" };
+  Sim *sim = sim_new (55);
+  g_autoptr (GPtrArray) patterns = g_ptr_array_new ();
+  g_autofree char *very_long = g_strnfill (64 * 1024, 'x');
+  guint leader;
+
+  sim_run (sim, 15);
+  leader = (guint) sim_leader (sim);
+  for (guint r = 0; r < G_N_ELEMENTS (routes); r++)
+    g_ptr_array_add (patterns, (gpointer) routes[r]);
+  for (guint r = 0; r < G_N_ELEMENTS (routes); r++)
+    {
+      g_auto (GStrv) segments = g_strsplit (routes[r], "/", -1);
+      for (guint i = 1; segments[i]; i++)
+        {
+          g_autofree char *doubled = g_strdup_printf ("%s/%s", segments[i], segments[i]);
+          g_autofree char *with_slash = g_strconcat (segments[i], "/", NULL);
+          const char *const changes[] = { NULL, doubled, with_slash, "", "%2e%00", very_long };
+          for (guint c = 0; c < G_N_ELEMENTS (changes); c++)
+            expect_refused (sim, routes[r], i, changes[c], patterns);
+        }
+    }
+  g_assert_cmpint (sim_leader (sim), ==, (int) leader);
+  g_assert_cmpuint (sim->nodes[0].incarnation, ==, 1);
+  sim_free (sim);
+}
+
 /* Gives the job's user this response, and expects that it violates this rule and no other. Clears the violations. */
 static void
 expect_violation (Sim *sim, const char *rule, SimJob *job, guint status, const char *state)
@@ -705,6 +806,7 @@
   g_test_add_func ("/cluster/leader-cut-off-from-workers", test_leader_cut_off_from_workers);
   g_test_add_func ("/cluster/all-machines-hang-repeatedly", test_all_machines_hang_repeatedly);
   g_test_add_func ("/cluster/admin-api", test_admin_api);
+  g_test_add_func ("/cluster/malformed-paths", test_malformed_paths);
   g_test_add_func ("/cluster/gang-reservation-on-scale-in-candidate", test_gang_reservation_on_scale_in_candidate);
   return g_test_run ();
 }
