--- a/src/scheduling/job.h
+++ b/src/scheduling/job.h
@@ -152,9 +152,9 @@
 
   /** `name` Scale-out, on the leader only
    * @{ */
-  const char
-      *planned_zone; /**< (nullable) For a job with `samePlace`: the zone in which machines are rented for it, see
-                               placement-check.h. Interned. */
+  /** (nullable) For a job with `samePlace`: the zone in which machines are rented for it, see placement-check.h.
+   * Interned. */
+  const char *planned_zone;
   /** @} */
 
   /** `name` Starvation, maintained by hzb_headroom_reserve()
